--- a/include/medlarhub/platform.h
+++ b/include/medlarhub/platform.h
@@ -33,6 +33,11 @@
     unavailable ///< no answer, or an error: the write may have taken effect
 };
 
+struct write_result {
+    write_outcome outcome = write_outcome::unavailable;
+    std::int64_t version = 0; ///< of the rows written, when committed
+};
+
 /// The platform's transactional table service. Calls block for at most the adapter's timeout.
 class table {
 public:
@@ -42,7 +47,7 @@
     virtual ~table() = default;
 
     /// All writes or none.
-    [[nodiscard]] virtual write_outcome transact(const std::vector<table_write>& writes) = 0;
+    [[nodiscard]] virtual write_result transact(const std::vector<table_write>& writes) = 0;
     /// The row of that key, or none of it; empty, with the reason, when the service gave no answer.
     [[nodiscard]] virtual std::optional<std::vector<table_row>> read(const std::string& key) = 0;
     /// Rows whose key begins with `prefix` and comes after `after`, by key, at most `limit` of them.
--- /dev/null
+++ b/src/cell/cell_node.cpp
@@ -0,0 +1,728 @@
+#include "cell/cell_node.h"
+
+#include "cell/advice_router.h"
+#include "cell/partition_rows.h"
+#include "log.h"
+#include "peers/cell_peers.h"
+
+#include "medlarhub/hash.h"
+#include "medlarhub/membership.h"
+#include "medlarhub/reason.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace medlarhub {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr milliseconds tick_period{25};
+constexpr milliseconds gossip_period{300};
+constexpr milliseconds ownership_period{100};
+constexpr milliseconds probe_timeout{500};
+constexpr milliseconds suspect_after{600};
+constexpr std::size_t probes_a_round = 2;
+/// Before a node takes a partition that it knows nothing of, it lets the others be heard.
+constexpr milliseconds settle_after_start{700};
+constexpr milliseconds take_retry{400};
+constexpr milliseconds declared_wait{1000};
+constexpr milliseconds source_retry{200};
+constexpr milliseconds targets_wait{2000};
+/// Between reads of changes of the targets' entries, which come many a second.
+constexpr milliseconds targets_pause{200};
+constexpr milliseconds reroute_wait{40};
+constexpr milliseconds forward_grace{100};
+constexpr milliseconds usual_retry{500};
+constexpr milliseconds advice_slack{1500};
+constexpr milliseconds release_wait{1500};
+constexpr milliseconds take_timeout{500};
+/// Another node heard from the table this lately: it isn't out for all.
+constexpr milliseconds table_heard{2000};
+constexpr auto node_prefix = "/node/";
+
+struct owner_view {
+    std::string owner;
+    std::string address;
+    std::uint64_t epoch = 0;
+};
+
+std::string node_of(const std::string& owner) {
+    return owner.substr(0, owner.rfind('/'));
+}
+
+} // namespace
+
+int home_partition_of(std::string_view job, int partitions) {
+    return static_cast<int>(stable_hash(job) % static_cast<std::uint64_t>(std::max(partitions, 1)));
+}
+
+class cell_node::impl final : public cell_handler, public std::enable_shared_from_this<impl> {
+public:
+    impl(cell_options options, cell_ports ports)
+        : m_options{std::move(options)}, m_ports{std::move(ports)}, m_peers{*this},
+          m_incarnation{static_cast<std::uint64_t>(to_ms(now()))},
+          m_members{make_self(), {.suspect_after = suspect_after}, random_bits()} {}
+
+    std::optional<std::string> start() {
+        m_started = now();
+        if (!m_peers.start(m_options.peer_address))
+            return {};
+        loop([this] { follow_declarations(); });
+        loop([this] { join_cell(); });
+        loop([this] { tick_loop(); });
+        loop([this] { follow_targets(); });
+        return m_options.peer_address;
+    }
+
+    void hand_over() {
+        m_leaving = true;
+        {
+            const std::lock_guard lock{m_mutex};
+            m_members.leave();
+        }
+        for (const auto& [number, owned] : partitions()) {
+            owned->release(release_wait);
+            tell_heir(number);
+        }
+        gossip_round();
+    }
+
+    void stop() {
+        m_stopping = true;
+        m_stop.notify_all();
+        for (auto& thread : m_threads)
+            thread.join();
+        m_threads.clear();
+        for (const auto& [number, owned] : partitions())
+            owned->join();
+        m_peers.stop();
+    }
+
+    std::shared_ptr<const cell_config> config() const {
+        const std::lock_guard lock{m_mutex};
+        return m_declared.config;
+    }
+
+    bool ready() const {
+        const std::lock_guard lock{m_mutex};
+        if (m_leaving || !m_declared.config)
+            return false;
+        for (int number = 0; number < m_options.partitions; ++number) {
+            if (!m_owners.contains(number))
+                return false;
+        }
+        return true;
+    }
+
+    // ---- Calls ----
+
+    struct routed_call {
+        pb::job_call call;
+        job_callback done;
+        instant deadline{};
+        bool maybe_recorded = false;
+    };
+
+    void call(pb::job_call call, job_callback done) {
+        const auto routed = std::make_shared<routed_call>();
+        routed->deadline = now() + milliseconds{call.timeout_ms()};
+        const auto& key = call.what() == pb::job_call::count_pending ? call.queue() : call.id();
+        call.set_partition(home_partition_of(key, m_options.partitions));
+        routed->call = std::move(call);
+        routed->done = std::move(done);
+        route(routed);
+    }
+
+    void route(const std::shared_ptr<routed_call>& routed) {
+        const auto left = routed->deadline - now();
+        if (left <= 0ms)
+            return give_up(routed);
+        const int number = routed->call.partition();
+        if (const auto local = find(number); local && local->status() == partition_status::active) {
+            auto call = routed->call;
+            call.set_timeout_ms(left.count());
+            local->call(call, [self = shared_from_this(), routed](const pb::job_answer& answer) {
+                self->routed_answer(routed, answer);
+            });
+            return;
+        }
+        const auto address = owner_address(number);
+        if (address.empty() || address == m_options.peer_address)
+            return later(routed);
+        auto call = routed->call;
+        call.set_timeout_ms(left.count());
+        m_peers.job(address, call, left + forward_grace,
+                    [self = shared_from_this(), routed](peer_delivery delivery, const pb::job_answer& answer) {
+                        if (delivery == peer_delivery::answered)
+                            return self->routed_answer(routed, answer);
+                        if (delivery == peer_delivery::lost)
+                            routed->maybe_recorded = true;
+                        self->later(routed);
+                    });
+    }
+
+    void routed_answer(const std::shared_ptr<routed_call>& routed, const pb::job_answer& answer) {
+        if (answer.result() == pb::job_answer::not_owner)
+            return later(routed);
+        if (answer.result() == pb::job_answer::not_run && routed->maybe_recorded)
+            return give_up(routed);
+        routed->done(answer);
+    }
+
+    /// The calls are idempotent by the job's id, so that one whose answer was lost is sent again.
+    void later(const std::shared_ptr<routed_call>& routed) {
+        if (now() + reroute_wait >= routed->deadline)
+            return give_up(routed);
+        const std::lock_guard lock{m_mutex};
+        m_delayed.emplace(now() + reroute_wait, routed);
+    }
+
+    void give_up(const std::shared_ptr<routed_call>& routed) {
+        const bool submit = routed->call.what() == pb::job_call::submit;
+        m_counters.count("calls_given_up_total");
+        log_event(log_level::info, "call_given_up",
+                  {{"request", routed->call.id()},
+                   {"maybe_recorded", routed->maybe_recorded ? "true" : "false"}});
+        routed->done(make_job_answer(submit && !routed->maybe_recorded ? pb::job_answer::not_run
+                                                                       : pb::job_answer::unknown,
+                                     "the owner was not reached in time", usual_retry));
+    }
+
+    // ---- Peers ----
+
+    pb::gossip on_exchange(const pb::gossip& message) override {
+        take_gossip(message);
+        return make_gossip();
+    }
+
+    void on_job(const pb::job_call& call, std::function<void(pb::job_answer)> done) override {
+        const auto local = find(call.partition());
+        if (!local)
+            return done(make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
+        local->call(call, std::move(done));
+    }
+
+    void on_advise(const pb::advice_call& call, std::function<void(pb::advice_answer)> done) override {
+        m_ports.advice->ask(call.step(), {call.targets().begin(), call.targets().end()},
+                            milliseconds{call.timeout_ms()},
+                            [done = std::move(done)](const std::optional<advice_reply>& reply) {
+                                pb::advice_answer answer;
+                                answer.set_answered(reply.has_value());
+                                if (reply) {
+                                    answer.set_valid_ms(reply->valid.count());
+                                    for (const auto& each : reply->good) {
+                                        auto& to = *answer.add_good();
+                                        to.set_target(each.target);
+                                        to.set_text(each.text);
+                                    }
+                                }
+                                done(std::move(answer));
+                            });
+    }
+
+    pb::take_reply on_take(const pb::take_request& request) override {
+        pb::take_reply reply;
+        if (!m_leaving) {
+            take(request.partition());
+            reply.set_taken(true);
+        }
+        return reply;
+    }
+
+    metrics m_counters;
+
+private:
+    using owned_map = std::map<int, std::shared_ptr<owned_partition>>;
+
+    pb::member make_self() const {
+        pb::member self;
+        self.set_id(m_options.node);
+        self.set_peer_address(m_options.peer_address);
+        self.set_data_centre(m_options.data_centre);
+        self.set_incarnation(m_incarnation);
+        return self;
+    }
+
+    template <typename Body> void loop(Body body) { m_threads.emplace_back(std::move(body)); }
+
+    /// False once the node stops.
+    bool pause(milliseconds time) {
+        std::unique_lock lock{m_stop_mutex};
+        return !m_stop.wait_for(lock, time, [&] { return m_stopping.load(); });
+    }
+
+    owned_map partitions() const {
+        const std::lock_guard lock{m_mutex};
+        return m_owned;
+    }
+
+    std::shared_ptr<owned_partition> find(int number) const {
+        const std::lock_guard lock{m_mutex};
+        const auto found = m_owned.find(number);
+        return found == m_owned.end() ? nullptr : found->second;
+    }
+
+    std::string owner_address(int number) const {
+        const std::lock_guard lock{m_mutex};
+        const auto found = m_owners.find(number);
+        return found == m_owners.end() ? std::string{} : found->second.address;
+    }
+
+    std::string self_owner() const { return m_options.node + "/" + std::to_string(m_incarnation); }
+
+    // ---- Sources ----
+
+    void follow_declarations() {
+        bool reached = true;
+        while (!m_stopping) {
+            const auto seen = m_ports.declared->next(declared_wait);
+            if (!seen) {
+                if (reached)
+                    log_event(log_level::warning, "declarations_lost", {{"reason", last_reason()}});
+                reached = false;
+                pause(source_retry);
+                continue;
+            }
+            if (!reached)
+                log_event(log_level::info, "declarations_back", {});
+            reached = true;
+            m_table_heard = now();
+            bool changed = false;
+            {
+                const std::lock_guard lock{m_mutex};
+                changed = !m_declared.config || m_declared.config != seen->config ||
+                          m_declared.drained_data_centres != seen->drained_data_centres;
+                m_declared = *seen;
+            }
+            if (!changed)
+                continue;
+            log_event(log_level::info, "declarations_changed",
+                      {{"version", std::to_string(seen->config->version)},
+                       {"drained", std::to_string(seen->drained_data_centres.size())}});
+            for (const auto& [number, owned] : partitions())
+                owned->set_declarations(*seen);
+        }
+    }
+
+    /// Only owners read the targets' entries.
+    void follow_targets() {
+        bool reached = true;
+        while (!m_stopping) {
+            if (partitions().empty()) {
+                pause(tick_period);
+                continue;
+            }
+            const auto seen = m_ports.targets->next(targets_wait);
+            if (!seen) {
+                if (reached)
+                    log_event(log_level::warning, "targets_lost", {{"reason", last_reason()}});
+                reached = false;
+                pause(source_retry);
+                continue;
+            }
+            if (!reached)
+                log_event(log_level::info, "targets_back", {});
+            reached = true;
+            {
+                const std::lock_guard lock{m_mutex};
+                m_targets = *seen;
+                m_targets_known = true;
+            }
+            for (const auto& [number, owned] : partitions())
+                owned->set_targets(slice(*seen, number));
+            pause(targets_pause);
+        }
+    }
+
+    /// The targets of one partition: whole racks, by hash.
+    std::vector<target_entry> slice(const std::vector<target_entry>& all, int number) const {
+        std::vector<target_entry> part;
+        std::ranges::copy_if(all, std::back_inserter(part), [&](const target_entry& target) {
+            return home_partition_of(target.rack, m_options.partitions) == number;
+        });
+        return part;
+    }
+
+    /// Registers this node and learns of the others.
+    void join_cell() {
+        for (const auto& seed : m_options.seeds)
+            greet(seed);
+        pb::node_entry entry;
+        entry.set_peer_address(m_options.peer_address);
+        entry.set_data_centre(m_options.data_centre);
+        entry.set_incarnation(m_incarnation);
+        do {
+            const auto written = m_ports.rows->transact(
+                {{node_prefix + m_options.node, entry.SerializeAsString(), write_condition::none, 0, false}});
+            constexpr int most_nodes = 500;
+            const auto rows = m_ports.rows->list(node_prefix, "", most_nodes);
+            if (!rows)
+                continue;
+            for (const auto& row : *rows)
+                learn_node(row);
+            m_joined = true;
+            if (written.outcome == write_outcome::committed)
+                return;
+        } while (pause(source_retry));
+    }
+
+    void learn_node(const table_row& row) {
+        pb::node_entry entry;
+        if (!entry.ParseFromString(row.value))
+            return;
+        pb::member member;
+        member.set_id(row.key.substr(std::string_view{node_prefix}.size()));
+        member.set_peer_address(entry.peer_address());
+        member.set_data_centre(entry.data_centre());
+        member.set_incarnation(entry.incarnation());
+        const std::lock_guard lock{m_mutex};
+        m_members.merge(now(), member);
+    }
+
+    // ---- Gossip ----
+
+    pb::gossip make_gossip() {
+        pb::gossip message;
+        message.set_from(m_options.node);
+        message.set_incarnation(m_incarnation);
+        message.set_store_age_ms((now() - m_table_heard.load()).count());
+        const std::lock_guard lock{m_mutex};
+        for (const auto& update : m_members.updates())
+            *message.add_members() = update;
+        for (const auto& [number, view] : m_owners) {
+            auto& summary = *message.add_partitions();
+            summary.set_partition(number);
+            summary.set_owner(view.owner);
+            summary.set_epoch(view.epoch);
+            summary.set_owner_address(view.address);
+        }
+        return message;
+    }
+
+    void take_gossip(const pb::gossip& message) {
+        const auto at = now();
+        const std::lock_guard lock{m_mutex};
+        for (const auto& update : message.members())
+            m_members.merge(at, update);
+        for (const auto& summary : message.partitions())
+            learn_owner(summary.partition(), {summary.owner(), summary.owner_address(), summary.epoch()});
+        m_peer_table_heard[message.from()] = at - milliseconds{message.store_age_ms()};
+    }
+
+    void learn_owner(int number, const owner_view& view) {
+        auto& known = m_owners[number];
+        if (view.epoch > known.epoch)
+            known = view;
+    }
+
+    void greet(const std::string& address) {
+        if (address == m_options.peer_address)
+            return;
+        m_peers.exchange(address, make_gossip(), probe_timeout,
+                         [self = shared_from_this()](peer_delivery delivery, const pb::gossip& reply) {
+                             if (delivery == peer_delivery::answered)
+                                 self->take_gossip(reply);
+                         });
+    }
+
+    void gossip_round() {
+        std::vector<pb::member> probes;
+        {
+            const std::lock_guard lock{m_mutex};
+            m_members.tick(now());
+            probes = m_members.next_probes(probes_a_round);
+        }
+        for (const auto& member : probes) {
+            m_peers.exchange(member.peer_address(), make_gossip(), probe_timeout,
+                             [self = shared_from_this(), member](peer_delivery delivery,
+                                                                 const pb::gossip& reply) {
+                                 if (delivery == peer_delivery::answered)
+                                     return self->take_gossip(reply);
+                                 const std::lock_guard lock{self->m_mutex};
+                                 self->m_members.probe_failed(now(), member.id());
+                             });
+        }
+    }
+
+    bool shared_outage() const {
+        const auto at = now();
+        const std::lock_guard lock{m_mutex};
+        std::size_t heard = 1;
+        const auto live = m_members.live();
+        for (const auto& node : live) {
+            const auto found = m_peer_table_heard.find(node);
+            if (found == m_peer_table_heard.end())
+                continue;
+            if (at - found->second < table_heard)
+                return false;
+            ++heard;
+        }
+        return heard * 2 > live.size();
+    }
+
+    // ---- Ownership ----
+
+    void tick_loop() {
+        instant next_gossip{};
+        instant next_ownership{};
+        while (pause(tick_period)) {
+            const auto at = now();
+            for (const auto& [number, owned] : partitions())
+                owned->tick();
+            send_delayed(at);
+            if (at >= next_gossip) {
+                next_gossip = at + gossip_period;
+                gossip_round();
+            }
+            if (at >= next_ownership && !m_leaving) {
+                next_ownership = at + ownership_period;
+                ownership_round(at);
+            }
+        }
+    }
+
+    void send_delayed(instant at) {
+        std::vector<std::shared_ptr<routed_call>> due;
+        {
+            const std::lock_guard lock{m_mutex};
+            const auto end = m_delayed.upper_bound(at);
+            for (auto it = m_delayed.begin(); it != end; ++it)
+                due.push_back(it->second);
+            m_delayed.erase(m_delayed.begin(), end);
+        }
+        for (const auto& routed : due)
+            route(routed);
+    }
+
+    void ownership_round(instant at) {
+        drop_closed();
+        publish_owned();
+        std::vector<int> wanted;
+        {
+            const std::lock_guard lock{m_mutex};
+            if (!m_joined && m_owners.empty())
+                return;
+            const auto live = m_members.live();
+            for (int number = 0; number < m_options.partitions; ++number) {
+                if (m_owned.contains(number) || at < m_next_take[number])
+                    continue;
+                const auto known = m_owners.find(number);
+                const bool owned = known != m_owners.end() && owner_lives(known->second.owner);
+                if (owned || rendezvous(live, "partition/" + std::to_string(number)) != m_options.node)
+                    continue;
+                if (known == m_owners.end() && at - m_started < settle_after_start)
+                    continue;
+                m_next_take[number] = at + take_retry;
+                wanted.push_back(number);
+            }
+        }
+        for (const auto number : wanted)
+            look_and_take(number);
+    }
+
+    /// Whether the owner, a node in one incarnation, is alive as far as is known here.
+    bool owner_lives(const std::string& owner) const {
+        if (owner.empty())
+            return false;
+        if (owner == m_options.node + "/" + std::to_string(m_incarnation))
+            return m_owned_names.contains(owner);
+        const auto member = m_members.find(node_of(owner));
+        if (!member || !m_members.alive(node_of(owner)))
+            return false;
+        // Refuting a suspicion raises the incarnation by little, a restart by the time between.
+        constexpr std::uint64_t restarted = 200;
+        const auto incarnation = std::stoull(owner.substr(owner.rfind('/') + 1));
+        return member->incarnation() < incarnation + restarted;
+    }
+
+    void look_and_take(int number) {
+        partition_rows rows{*m_ports.rows, number, self_owner(), m_options.peer_address};
+        const auto head = rows.look();
+        if (!head)
+            return;
+        {
+            const std::lock_guard lock{m_mutex};
+            learn_owner(number, {head->owner(), head->peer_address(), head->epoch()});
+            if (owner_lives(head->owner()))
+                return;
+        }
+        take(number);
+    }
+
+    void take(int number) {
+        owned_partition_options options;
+        options.number = number;
+        options.owner = self_owner();
+        options.peer_address = m_options.peer_address;
+        options.lease = m_options.lease;
+        options.longest_lease = m_options.longest_lease;
+        partition_environment environment;
+        environment.rows = m_ports.rows.get();
+        environment.orders = m_ports.orders.get();
+        environment.counters = &m_counters;
+        environment.ask = [this](const advice_question& question, auto done) { ask(question, std::move(done)); };
+        environment.shared_outage = [this] { return shared_outage(); };
+        const auto owned = std::make_shared<owned_partition>(std::move(options), std::move(environment));
+        declarations declared;
+        std::optional<std::vector<target_entry>> targets;
+        {
+            const std::lock_guard lock{m_mutex};
+            if (m_leaving || m_stopping || !m_owned.emplace(number, owned).second)
+                return;
+            declared = m_declared;
+            if (m_targets_known)
+                targets = slice(m_targets, number);
+        }
+        if (declared.config)
+            owned->set_declarations(declared);
+        if (targets)
+            owned->set_targets(*targets);
+        owned->start();
+    }
+
+    void drop_closed() {
+        owned_map closed;
+        {
+            const std::lock_guard lock{m_mutex};
+            for (auto it = m_owned.begin(); it != m_owned.end();) {
+                if (it->second->status() == partition_status::closed) {
+                    closed.insert(*it);
+                    it = m_owned.erase(it);
+                } else {
+                    ++it;
+                }
+            }
+        }
+        for (const auto& [number, owned] : closed)
+            owned->join();
+    }
+
+    void publish_owned() {
+        std::map<int, std::uint64_t> active;
+        for (const auto& [number, owned] : partitions()) {
+            if (owned->status() == partition_status::active)
+                active[number] = owned->epoch();
+        }
+        const std::lock_guard lock{m_mutex};
+        m_owned_names.clear();
+        for (const auto& [number, epoch] : active) {
+            learn_owner(number, {self_owner(), m_options.peer_address, epoch});
+            m_owned_names.insert(self_owner());
+        }
+    }
+
+    void tell_heir(int number) {
+        std::string address;
+        {
+            const std::lock_guard lock{m_mutex};
+            const auto heir = rendezvous(m_members.live(), "partition/" + std::to_string(number));
+            const auto member = m_members.find(heir);
+            if (!member || heir == m_options.node)
+                return;
+            address = member->peer_address();
+        }
+        pb::take_request request;
+        request.set_partition(number);
+        m_peers.take(address, request, take_timeout, [](peer_delivery, const pb::take_reply&) {});
+    }
+
+    // ---- Advice ----
+
+    void ask(const advice_question& question, std::function<void(std::optional<advice_reply>)> done) {
+        const auto at = now();
+        std::string node;
+        std::string address;
+        {
+            const std::lock_guard lock{m_mutex};
+            node = m_advice.choose(at, m_members.live(), question.cost);
+            if (const auto member = m_members.find(node))
+                address = member->peer_address();
+        }
+        const auto timeout = question.cost * 2 + advice_slack;
+        if (node.empty() || node == m_options.node) {
+            m_ports.advice->ask(question.step, question.targets, timeout, std::move(done));
+            return;
+        }
+        pb::advice_call call;
+        call.set_step(question.step);
+        for (const auto& target : question.targets)
+            call.add_targets(target);
+        call.set_timeout_ms(timeout.count());
+        m_peers.advise(address, call, timeout,
+                       [self = shared_from_this(), node, done = std::move(done)](
+                           peer_delivery delivery, const pb::advice_answer& answer) {
+                           if (delivery != peer_delivery::answered || !answer.answered()) {
+                               {
+                                   const std::lock_guard lock{self->m_mutex};
+                                   self->m_advice.failed(now(), node);
+                               }
+                               return done(std::nullopt);
+                           }
+                           advice_reply reply;
+                           reply.valid = milliseconds{answer.valid_ms()};
+                           for (const auto& each : answer.good())
+                               reply.good.push_back({each.target(), each.text()});
+                           done(std::move(reply));
+                       });
+    }
+
+    cell_options m_options;
+    cell_ports m_ports;
+    cell_peers m_peers;
+    std::uint64_t m_incarnation;
+    instant m_started{};
+
+    mutable std::mutex m_mutex; ///< guards all that follows up to the next blank line
+    membership m_members;
+    std::map<int, owner_view> m_owners;
+    std::map<int, instant> m_next_take;
+    std::map<std::string, instant> m_peer_table_heard;
+    std::set<std::string> m_owned_names;
+    owned_map m_owned;
+    declarations m_declared;
+    std::vector<target_entry> m_targets;
+    bool m_targets_known = false;
+    advice_router m_advice;
+    std::multimap<instant, std::shared_ptr<routed_call>> m_delayed;
+
+    std::atomic<instant> m_table_heard{instant{}};
+    std::atomic<bool> m_joined{false};
+    std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_stopping{false};
+    std::mutex m_stop_mutex;
+    std::condition_variable m_stop;
+    std::vector<std::thread> m_threads;
+};
+
+cell_node::cell_node(cell_options options, cell_ports ports)
+    : m_impl{std::make_shared<impl>(std::move(options), std::move(ports))} {}
+cell_node::~cell_node() = default;
+
+std::optional<std::string> cell_node::start() {
+    return m_impl->start();
+}
+void cell_node::hand_over() {
+    m_impl->hand_over();
+}
+void cell_node::stop() {
+    m_impl->stop();
+}
+std::shared_ptr<const cell_config> cell_node::config() const {
+    return m_impl->config();
+}
+void cell_node::call(pb::job_call call, job_callback done) {
+    m_impl->call(std::move(call), std::move(done));
+}
+bool cell_node::ready() const {
+    return m_impl->ready();
+}
+metrics& cell_node::counters() {
+    return m_impl->m_counters;
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/cell/clocks.cpp
@@ -0,0 +1,20 @@
+#include "cell/clocks.h"
+
+#include <ctime>
+
+namespace medlarhub {
+
+milliseconds boot_time() {
+    timespec read{};
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    return std::chrono::duration_cast<milliseconds>(std::chrono::seconds{read.tv_sec} +
+                                                    std::chrono::nanoseconds{read.tv_nsec});
+}
+
+bool stall_guard::beat(milliseconds boot) {
+    const bool stalled_before = m_last != milliseconds{0} && stalled(boot);
+    m_last = boot;
+    return stalled_before;
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/cell/owned_partition.cpp
@@ -0,0 +1,519 @@
+#include "cell/owned_partition.h"
+
+#include "cell/clocks.h"
+#include "cell/partition_rows.h"
+#include "log.h"
+
+#include "medlarhub/reason.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace medlarhub {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long a write waits for others to share its transaction.
+constexpr milliseconds group_wait{5};
+constexpr milliseconds write_retry{50};
+constexpr milliseconds idle_wait{50};
+/// A write that fails for this long makes the table count as out.
+constexpr milliseconds table_out_after{400};
+/// The owner confirms that it is the owner at least this often.
+constexpr milliseconds confirm_period{1500};
+/// Without a confirmation for this long nothing goes to targets, unless the table is out for all.
+constexpr milliseconds confirm_bound{7000};
+constexpr milliseconds stall_tolerated{700};
+constexpr milliseconds order_timeout{1000};
+constexpr milliseconds poll_grace{1000};
+constexpr milliseconds answer_margin{30};
+constexpr milliseconds usual_retry{500};
+constexpr milliseconds outage_retry{1000};
+constexpr double lease_drift = 1.02;
+
+bool wanted_at_info(const std::string& event) {
+    return event != "run_ended" && event != "step_done";
+}
+
+} // namespace
+
+pb::job_answer make_job_answer(pb::job_answer::outcome outcome, std::string_view reason,
+                               milliseconds retry_after) {
+    pb::job_answer answer;
+    answer.set_result(outcome);
+    answer.set_reason(std::string{reason});
+    answer.set_retry_after_ms(retry_after.count());
+    return answer;
+}
+
+class owned_partition::impl : public std::enable_shared_from_this<impl> {
+public:
+    impl(owned_partition_options options, partition_environment environment)
+        : m_options{std::move(options)}, m_environment{std::move(environment)},
+          m_rows{*m_environment.rows, m_options.number, m_options.owner, m_options.peer_address},
+          m_guard{stall_tolerated} {}
+
+    void start() {
+        m_thread = std::thread{[self = shared_from_this()] { self->work(); }};
+    }
+
+    void release(milliseconds longest) {
+        std::unique_lock lock{m_mutex};
+        if (m_status == partition_status::active)
+            m_status = partition_status::releasing;
+        m_wake.notify_all();
+        m_closed.wait_for(lock, longest, [&] { return m_status == partition_status::closed; });
+    }
+
+    void join() {
+        {
+            const std::lock_guard lock{m_mutex};
+            m_stopping = true;
+        }
+        m_wake.notify_all();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    void set_declarations(const declarations& declared) {
+        locked([&](instant) {
+            m_declared = declared;
+            if (m_engine) {
+                m_engine->set_config(declared.config);
+                m_engine->set_drained(declared.drained_data_centres);
+            }
+        });
+    }
+
+    void set_targets(const std::vector<target_entry>& targets) {
+        locked([&](instant at) {
+            m_targets = targets;
+            m_targets_known = true;
+            if (m_engine)
+                m_engine->set_targets(at, targets);
+        });
+    }
+
+    void call(const pb::job_call& call, job_callback done) {
+        locked([&](instant at) {
+            if (m_status != partition_status::active)
+                return answer(done, make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
+            switch (call.what()) {
+            case pb::job_call::submit:
+                return submit(at, call, std::move(done));
+            case pb::job_call::cancel:
+                return cancel(at, call, std::move(done));
+            case pb::job_call::count_pending: {
+                auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
+                made.set_pending(m_engine->pending(call.queue()));
+                return answer(done, std::move(made));
+            }
+            default: {
+                auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
+                made.set_state(m_engine->state(call.id()));
+                if (made.state() == pb::job_answer::none)
+                    made.set_result(pb::job_answer::not_found);
+                return answer(done, std::move(made));
+            }
+            }
+        });
+    }
+
+    void tick() {
+        const auto boot = boot_time();
+        locked([&](instant at) {
+            if (m_guard.beat(boot))
+                stalled("the process stood still");
+            if (!m_engine || m_status != partition_status::active)
+                return;
+            m_engine->tick(at);
+            answer_late(at);
+        });
+    }
+
+    partition_status status() const {
+        const std::lock_guard lock{m_mutex};
+        return m_status;
+    }
+
+    std::uint64_t epoch() const {
+        const std::lock_guard lock{m_mutex};
+        return m_epoch;
+    }
+
+private:
+    struct waiter {
+        std::string job;
+        job_callback done;
+        instant deadline;
+    };
+
+    /// What was decided under the lock and happens after it.
+    struct outbox {
+        std::vector<target_order> orders;
+        std::vector<poll_order> polls;
+        std::vector<advice_question> questions;
+        std::vector<engine_event> events;
+        std::vector<std::function<void()>> answers;
+        bool wake = false;
+    };
+
+    template <typename Body> void locked(Body body) {
+        outbox out;
+        {
+            const std::lock_guard lock{m_mutex};
+            const auto at = now();
+            body(at);
+            collect(at, out);
+        }
+        flush(out);
+    }
+
+    void answer(const job_callback& done, pb::job_answer made) {
+        m_answers.emplace_back([done, made = std::move(made)] { done(made); });
+    }
+
+    void stalled(std::string_view reason) {
+        m_confirm_needed = true;
+        log_event(log_level::warning, "owner_stalled",
+                  {{"partition", std::to_string(m_options.number)}, {"reason", std::string{reason}}});
+    }
+
+    /// Whether this node may still command targets: it is the owner as far as it can know.
+    bool may_command() {
+        const auto boot = boot_time();
+        if (m_guard.stalled(boot) && !m_confirm_needed)
+            stalled("a long gap between ticks");
+        if (m_confirm_needed)
+            return false;
+        return boot - m_confirmed <= confirm_bound || m_environment.shared_outage();
+    }
+
+    void collect(instant at, outbox& out) {
+        out.answers.swap(m_answers);
+        if (!m_engine)
+            return;
+        out.events = m_engine->take_events();
+        if (m_status != partition_status::active)
+            return;
+        out.questions = m_engine->take_questions();
+        if (may_command()) {
+            out.orders = m_engine->take_orders(at);
+            out.polls = m_engine->take_polls(at);
+        }
+        if (m_engine->fenced())
+            m_confirm_needed = true;
+        out.wake = m_engine->write_due(at) || m_confirm_needed;
+    }
+
+    void flush(outbox& out) {
+        if (out.wake)
+            m_wake.notify_all();
+        for (const auto& order : out.orders)
+            send(order);
+        for (const auto& order : out.polls)
+            poll(order);
+        for (const auto& question : out.questions)
+            ask(question);
+        for (const auto& answer : out.answers)
+            answer();
+        for (const auto& event : out.events)
+            log_event(wanted_at_info(event.what) ? log_level::info : log_level::debug, event.what,
+                      {{"request", event.job}, {"detail", event.detail}});
+    }
+
+    void send(const target_order& order) {
+        m_environment.counters->count(order.kind == order_kind::start ? "starts_total" : "stops_total");
+        m_environment.orders->send(order, order_timeout,
+                                   [self = shared_from_this(), order](order_outcome outcome) {
+                                       self->locked([&](instant at) {
+                                           if (self->m_engine)
+                                               self->m_engine->answered(at, order, outcome, 0);
+                                       });
+                                   });
+    }
+
+    void poll(const poll_order& order) {
+        m_environment.counters->count("polls_total");
+        const auto sent = now();
+        m_environment.orders->poll(order, order.wait + poll_grace,
+                                   [self = shared_from_this(), order, sent](const poll_result& result) {
+                                       self->locked([&](instant at) {
+                                           if (self->m_engine)
+                                               self->m_engine->polled(at, sent, order, result);
+                                       });
+                                   });
+    }
+
+    void ask(const advice_question& question) {
+        m_environment.counters->count("advice_total");
+        m_environment.ask(question, [self = shared_from_this(), question](std::optional<advice_reply> reply) {
+            self->locked([&](instant at) {
+                if (!self->m_engine)
+                    return;
+                if (reply)
+                    self->m_engine->advised(at, question, reply->good, reply->valid);
+                else
+                    self->m_engine->advice_failed(at, question.step);
+            });
+        });
+    }
+
+    // ---- Callers ----
+
+    bool table_out(instant at) const { return m_failing_since != instant{} && at - m_failing_since > table_out_after; }
+
+    void submit(instant at, const pb::job_call& call, job_callback done) {
+        const auto& id = call.spec().id();
+        if (!m_engine->known(id) && table_out(at)) {
+            log_event(log_level::info, "job_refused", {{"request", id}, {"reason", "the table is out"}});
+            return answer(done, make_job_answer(pb::job_answer::not_run, "the table is out", outage_retry));
+        }
+        const auto outcome = m_engine->accept(at, call.spec());
+        if (outcome == accept_outcome::invalid)
+            return answer(done, make_job_answer(pb::job_answer::invalid, *fault_of(call.spec()), 0ms));
+        wait_durable(at, call, id, std::move(done));
+    }
+
+    void cancel(instant at, const pb::job_call& call, job_callback done) {
+        if (!m_engine->cancel(at, call.id()))
+            return answer(done, make_job_answer(pb::job_answer::not_found, "no such job", 0ms));
+        wait_durable(at, call, call.id(), std::move(done));
+    }
+
+    void wait_durable(instant at, const pb::job_call& call, const std::string& id, job_callback done) {
+        if (m_engine->durable(id))
+            return answer(done, make_job_answer(pb::job_answer::ok, {}, 0ms));
+        m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin});
+    }
+
+    void answer_durable() {
+        std::erase_if(m_waiters, [&](const waiter& waiting) {
+            if (!m_engine->durable(waiting.job))
+                return false;
+            answer(waiting.done, make_job_answer(pb::job_answer::ok, {}, 0ms));
+            return true;
+        });
+    }
+
+    void answer_late(instant at) {
+        std::erase_if(m_waiters, [&](const waiter& waiting) {
+            if (at < waiting.deadline)
+                return false;
+            answer(waiting.done,
+                   make_job_answer(pb::job_answer::unknown, "not recorded before the deadline", usual_retry));
+            return true;
+        });
+    }
+
+    // ---- The thread: ownership and writes ----
+
+    void work() {
+        if (!take()) {
+            close("not taken: " + last_reason());
+            return;
+        }
+        std::unique_lock lock{m_mutex};
+        while (!m_stopping && m_status != partition_status::closed) {
+            const auto due = [&] {
+                return m_stopping || m_confirm_needed || m_status == partition_status::releasing ||
+                       m_engine->write_due(now());
+            };
+            m_wake.wait_for(lock, idle_wait, due);
+            if (m_stopping)
+                break;
+            if (m_status == partition_status::releasing && !m_engine->write_due(now())) {
+                lock.unlock();
+                give_up();
+                return;
+            }
+            const bool confirm = m_confirm_needed || boot_time() - m_confirmed > confirm_period;
+            if (m_engine->write_due(now())) {
+                lock.unlock();
+                std::this_thread::sleep_for(group_wait);
+                write();
+                lock.lock();
+            } else if (confirm) {
+                lock.unlock();
+                check_ownership();
+                lock.lock();
+            }
+        }
+    }
+
+    bool take() {
+        const auto epoch = m_rows.take();
+        if (!epoch)
+            return false;
+        auto content = m_rows.load();
+        while (!content && !m_stopping && m_rows.confirm() != row_outcome::deposed) {
+            std::this_thread::sleep_for(write_retry);
+            content = m_rows.load();
+        }
+        if (!content)
+            return false;
+        engine_options options;
+        options.epoch = *epoch;
+        options.lease = m_options.lease;
+        const auto lapse = static_cast<double>(m_options.longest_lease.count()) * lease_drift;
+        options.unknown_runs = confirm_bound + milliseconds{static_cast<std::int64_t>(lapse)};
+        locked([&](instant at) {
+            m_engine = std::make_unique<job_engine>(options);
+            if (m_declared.config)
+                m_engine->set_config(m_declared.config);
+            m_engine->set_drained(m_declared.drained_data_centres);
+            m_engine->restore(content->specs, content->progress);
+            m_engine->restore_roster(at, content->roster);
+            if (m_targets_known)
+                m_engine->set_targets(at, m_targets);
+            m_epoch = *epoch;
+            m_confirmed = boot_time();
+            m_guard.beat(m_confirmed);
+            m_status = partition_status::active;
+        });
+        log_event(log_level::info, "partition_taken",
+                  {{"partition", std::to_string(m_options.number)},
+                   {"epoch", std::to_string(*epoch)},
+                   {"open", std::to_string(content->specs.size())},
+                   {"kept", std::to_string(content->progress.size())}});
+        return true;
+    }
+
+    void write() {
+        job_rows rows;
+        {
+            const std::lock_guard lock{m_mutex};
+            rows = m_engine->take_rows(now());
+        }
+        for (;;) {
+            const auto sent = boot_time();
+            const auto outcome = m_rows.write(rows);
+            m_environment.counters->count("table_writes_total");
+            if (outcome == row_outcome::deposed)
+                return close("another node owns the partition");
+            if (outcome == row_outcome::written) {
+                locked([&](instant at) {
+                    confirmed(sent);
+                    if (m_failing_since != instant{})
+                        log_event(log_level::info, "table_back", {});
+                    m_failing_since = {};
+                    m_engine->rows_written(at);
+                    answer_durable();
+                });
+                return;
+            }
+            {
+                const std::lock_guard lock{m_mutex};
+                if (m_stopping)
+                    return;
+                if (m_failing_since == instant{}) {
+                    m_failing_since = now();
+                    log_event(log_level::warning, "table_lost", {{"reason", last_reason()}});
+                }
+            }
+            std::this_thread::sleep_for(write_retry);
+        }
+    }
+
+    void confirmed(milliseconds sent) {
+        m_confirmed = std::max(m_confirmed, sent);
+        m_confirm_needed = false;
+    }
+
+    void check_ownership() {
+        const auto sent = boot_time();
+        const auto outcome = m_rows.confirm();
+        if (outcome == row_outcome::deposed)
+            return close("another node owns the partition");
+        if (outcome == row_outcome::written) {
+            locked([&](instant) {
+                if (m_engine->fenced())
+                    return;
+                confirmed(sent);
+                m_failing_since = {};
+            });
+            return;
+        }
+        std::this_thread::sleep_for(write_retry);
+    }
+
+    void give_up() {
+        const auto outcome = m_rows.release();
+        close(outcome == row_outcome::written ? "released" : "released, but the table gave no answer");
+    }
+
+    void close(const std::string& reason) {
+        locked([&](instant) {
+            m_status = partition_status::closed;
+            for (const auto& waiting : m_waiters)
+                answer(waiting.done,
+                       make_job_answer(pb::job_answer::not_owner, "the partition moved", usual_retry));
+            m_waiters.clear();
+        });
+        m_closed.notify_all();
+        log_event(log_level::info, "partition_closed",
+                  {{"partition", std::to_string(m_options.number)}, {"reason", reason}});
+    }
+
+    owned_partition_options m_options;
+    partition_environment m_environment;
+    partition_rows m_rows; ///< used by the thread only
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::condition_variable m_closed;
+    std::unique_ptr<job_engine> m_engine;
+    partition_status m_status = partition_status::taking;
+    std::uint64_t m_epoch = 0;
+    declarations m_declared;
+    std::vector<target_entry> m_targets;
+    bool m_targets_known = false;
+    std::vector<waiter> m_waiters;
+    std::vector<std::function<void()>> m_answers;
+    stall_guard m_guard;
+    milliseconds m_confirmed{0}; ///< boot time
+    bool m_confirm_needed = false;
+    instant m_failing_since{};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+owned_partition::owned_partition(owned_partition_options options, partition_environment environment)
+    : m_impl{std::make_shared<impl>(std::move(options), std::move(environment))} {}
+owned_partition::~owned_partition() {
+    m_impl->join();
+}
+
+void owned_partition::start() {
+    m_impl->start();
+}
+void owned_partition::release(milliseconds longest) {
+    m_impl->release(longest);
+}
+void owned_partition::join() {
+    m_impl->join();
+}
+void owned_partition::set_declarations(const declarations& declared) {
+    m_impl->set_declarations(declared);
+}
+void owned_partition::set_targets(const std::vector<target_entry>& targets) {
+    m_impl->set_targets(targets);
+}
+void owned_partition::call(const pb::job_call& call, job_callback done) {
+    m_impl->call(call, std::move(done));
+}
+void owned_partition::tick() {
+    m_impl->tick();
+}
+partition_status owned_partition::status() const {
+    return m_impl->status();
+}
+std::uint64_t owned_partition::epoch() const {
+    return m_impl->epoch();
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/cell/owned_partition.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cell/ports.h"
+#include "metrics.h"
+
+#include "jobs.pb.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlarhub {
+
+using job_callback = std::function<void(pb::job_answer)>;
+
+enum class partition_status { taking, active, releasing, closed };
+
+struct owned_partition_options {
+    int number = 0;
+    std::string owner; ///< this node and its incarnation
+    std::string peer_address;
+    milliseconds lease{4500};
+    milliseconds longest_lease{6000}; ///< that a target grants
+};
+
+/// What an owned partition reaches.
+struct partition_environment {
+    table* rows = nullptr;
+    target_port* orders = nullptr;
+    metrics* counters = nullptr;
+    /// Has a question asked by some node; answers once.
+    std::function<void(const advice_question&, std::function<void(std::optional<advice_reply>)>)> ask;
+    /// Whether the table is out for the other nodes too, so that nobody can have taken the partition.
+    std::function<bool()> shared_outage;
+};
+
+/// A partition that this node owns or is about to: the engine with its table rows, its targets and the callers
+/// that wait. Safe from any thread.
+class owned_partition {
+public:
+    owned_partition(owned_partition_options options, partition_environment environment);
+    ~owned_partition();
+    owned_partition(const owned_partition&) = delete;
+    owned_partition& operator=(const owned_partition&) = delete;
+
+    void start();
+    /// Writes what is decided and gives the partition up; waits for it, at most `longest`.
+    void release(milliseconds longest);
+    /// Ends the thread; the partition stays as it is in the table.
+    void join();
+
+    void set_declarations(const declarations& declared);
+    void set_targets(const std::vector<target_entry>& targets);
+    void call(const pb::job_call& call, job_callback done);
+    void tick();
+
+    [[nodiscard]] partition_status status() const;
+    [[nodiscard]] std::uint64_t epoch() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+pb::job_answer make_job_answer(pb::job_answer::outcome outcome, std::string_view reason,
+                               milliseconds retry_after);
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/cell/partition_rows.cpp
@@ -0,0 +1,171 @@
+#include "cell/partition_rows.h"
+
+#include "medlarhub/reason.h"
+
+namespace medlarhub {
+
+namespace {
+
+constexpr auto head_kind = "head";
+constexpr auto head_name = "owner";
+constexpr auto spec_kind = "spec";
+constexpr auto progress_kind = "progress";
+constexpr auto roster_kind = "roster";
+constexpr auto roster_name = "targets";
+constexpr int rows_per_read = 500;
+
+table_write put(std::string key, std::string value) {
+    return {std::move(key), std::move(value), write_condition::none, 0, false};
+}
+
+table_write drop(std::string key) {
+    return {std::move(key), {}, write_condition::none, 0, true};
+}
+
+} // namespace
+
+partition_rows::partition_rows(table& rows, int partition, std::string owner, std::string peer_address)
+    : m_rows{rows}, m_prefix{"p" + std::to_string(partition) + "/"}, m_owner{std::move(owner)},
+      m_peer_address{std::move(peer_address)} {}
+
+std::string partition_rows::key(const char* kind, const std::string& name) const {
+    return m_prefix + kind + "/" + name;
+}
+
+bool partition_rows::read_head(pb::partition_head& head, std::int64_t& version) {
+    const auto rows = m_rows.read(key(head_kind, head_name));
+    if (!rows)
+        return false;
+    head.Clear();
+    version = 0;
+    if (rows->empty())
+        return true;
+    version = rows->front().version;
+    if (!head.ParseFromString(rows->front().value)) {
+        set_reason("the head row can't be read");
+        return false;
+    }
+    return true;
+}
+
+std::optional<pb::partition_head> partition_rows::look() {
+    pb::partition_head head;
+    std::int64_t version = 0;
+    if (!read_head(head, version))
+        return {};
+    return head;
+}
+
+std::optional<std::uint64_t> partition_rows::take() {
+    if (!read_head(m_head, m_version))
+        return {};
+    auto next = m_head;
+    next.set_owner(m_owner);
+    next.set_peer_address(m_peer_address);
+    next.set_epoch(m_head.epoch() + 1);
+    switch (commit(next, {})) {
+    case row_outcome::written:
+        return m_head.epoch();
+    case row_outcome::deposed:
+        return fail("another node took the partition first");
+    case row_outcome::unavailable:
+        break;
+    }
+    return {};
+}
+
+row_outcome partition_rows::commit(const pb::partition_head& from, std::vector<table_write> writes) {
+    auto next = from;
+    next.set_sequence(m_head.sequence() + 1);
+    table_write head{key(head_kind, head_name), next.SerializeAsString(),
+                     m_version == 0 ? write_condition::absent : write_condition::version, m_version, false};
+    writes.insert(writes.begin(), std::move(head));
+    const auto result = m_rows.transact(writes);
+    if (result.outcome == write_outcome::committed) {
+        m_version = result.version;
+        m_head = next;
+        return row_outcome::written;
+    }
+    // The answer of this write, or of an earlier attempt at it, may have been lost.
+    pb::partition_head seen;
+    std::int64_t version = 0;
+    if (!read_head(seen, version))
+        return row_outcome::unavailable;
+    if (seen.owner() == next.owner() && seen.epoch() == next.epoch() && seen.sequence() == next.sequence()) {
+        m_version = version;
+        m_head = next;
+        return row_outcome::written;
+    }
+    return version == m_version ? row_outcome::unavailable : row_outcome::deposed;
+}
+
+std::optional<std::vector<table_row>> partition_rows::list_all(const char* kind) {
+    std::vector<table_row> all;
+    const auto prefix = m_prefix + kind + "/";
+    for (;;) {
+        const auto page = m_rows.list(prefix, all.empty() ? std::string{} : all.back().key, rows_per_read);
+        if (!page)
+            return {};
+        if (page->empty())
+            return all;
+        all.insert(all.end(), page->begin(), page->end());
+    }
+}
+
+std::optional<partition_content> partition_rows::load() {
+    partition_content content;
+    const auto specs = list_all(spec_kind);
+    const auto progress = specs ? list_all(progress_kind) : std::nullopt;
+    const auto roster = progress ? m_rows.read(key(roster_kind, roster_name)) : std::nullopt;
+    if (!roster)
+        return {};
+    const auto name_of = [](const std::string& text) { return text.substr(text.rfind('/') + 1); };
+    for (const auto& row : *specs) {
+        if (!content.specs[name_of(row.key)].ParseFromString(row.value))
+            return fail("the row " + row.key + " can't be read");
+    }
+    for (const auto& row : *progress) {
+        if (!content.progress[name_of(row.key)].ParseFromString(row.value))
+            return fail("the row " + row.key + " can't be read");
+    }
+    pb::roster targets;
+    if (!roster->empty() && !targets.ParseFromString(roster->front().value))
+        return fail("the roster can't be read");
+    content.roster.assign(targets.targets().begin(), targets.targets().end());
+    return content;
+}
+
+row_outcome partition_rows::write(const job_rows& rows) {
+    std::vector<table_write> writes;
+    for (const auto& row : rows.rows) {
+        if (row.spec)
+            writes.push_back(put(key(spec_kind, row.job), *row.spec));
+        if (row.drop_spec)
+            writes.push_back(drop(key(spec_kind, row.job)));
+        if (row.progress)
+            writes.push_back(put(key(progress_kind, row.job), *row.progress));
+        if (row.drop_progress)
+            writes.push_back(drop(key(progress_kind, row.job)));
+    }
+    if (rows.roster)
+        writes.push_back(put(key(roster_kind, roster_name), *rows.roster));
+    return commit(m_head, std::move(writes));
+}
+
+row_outcome partition_rows::confirm() {
+    pb::partition_head seen;
+    std::int64_t version = 0;
+    if (!read_head(seen, version))
+        return row_outcome::unavailable;
+    const bool same = seen.owner() == m_head.owner() && seen.epoch() == m_head.epoch();
+    return same ? row_outcome::written : row_outcome::deposed;
+}
+
+row_outcome partition_rows::release() {
+    auto next = m_head;
+    next.clear_owner();
+    next.clear_peer_address();
+    return commit(next, {});
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/cell/partition_rows.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "jobs/engine.h"
+
+#include "medlarhub/platform.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace medlarhub {
+
+enum class row_outcome {
+    written,
+    deposed,    ///< another node owns the partition now
+    unavailable ///< not known: the same rows are to be written again
+};
+
+/// What a new owner reads.
+struct partition_content {
+    std::map<std::string, pb::job_spec> specs;
+    std::map<std::string, pb::job_progress> progress;
+    std::vector<std::string> roster;
+};
+
+/// A partition's rows in the table. Every transaction replaces the head row under the condition that it is as
+/// this owner left it, so that the rows of a deposed owner, and those of a write that is carried out late,
+/// change nothing. Calls block; one thread at a time.
+class partition_rows {
+public:
+    partition_rows(table& rows, int partition, std::string owner, std::string peer_address);
+
+    /// The head as it stands; empty owner when nobody owns the partition.
+    [[nodiscard]] std::optional<pb::partition_head> look();
+    /// Makes this node the owner. Empty, with the reason, when another node was first or nothing is known.
+    [[nodiscard]] std::optional<std::uint64_t> take();
+    [[nodiscard]] std::optional<partition_content> load();
+    [[nodiscard]] row_outcome write(const job_rows& rows);
+    /// Whether this node is the owner still.
+    [[nodiscard]] row_outcome confirm();
+    /// Gives the partition up, for the next owner to take at once.
+    [[nodiscard]] row_outcome release();
+
+    [[nodiscard]] std::uint64_t epoch() const { return m_head.epoch(); }
+
+private:
+    [[nodiscard]] std::string key(const char* kind, const std::string& name) const;
+    [[nodiscard]] std::optional<std::vector<table_row>> list_all(const char* kind);
+    [[nodiscard]] row_outcome commit(const pb::partition_head& next, std::vector<table_write> writes);
+    [[nodiscard]] bool read_head(pb::partition_head& head, std::int64_t& version);
+
+    table& m_rows;
+    std::string m_prefix;
+    std::string m_owner;
+    std::string m_peer_address;
+    pb::partition_head m_head;
+    std::int64_t m_version = 0; ///< of the head row; 0 when there is none
+};
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/advice_book.cpp
@@ -0,0 +1,43 @@
+#include "jobs/advice_book.h"
+
+namespace medlarhub {
+
+namespace {
+
+/// A ticket isn't used this long before it expires, for the way of the start.
+constexpr milliseconds ticket_margin{150};
+constexpr milliseconds retry_after_failure{100};
+
+} // namespace
+
+const std::string* step_advice::ticket(instant at, const std::string& target) const {
+    const auto found = m_tickets.find(target);
+    if (found == m_tickets.end() || found->second.valid_until < at + ticket_margin)
+        return nullptr;
+    return &found->second.text;
+}
+
+void step_advice::ask() {
+    m_asked = true;
+}
+
+void step_advice::answered(instant at, const std::vector<std::string>& targets,
+                           const std::vector<advice_ticket>& good, milliseconds valid) {
+    m_asked = false;
+    m_known.insert(targets.begin(), targets.end());
+    for (const auto& each : good)
+        m_tickets[each.target] = {each.text, at + valid};
+}
+
+void step_advice::failed(instant at) {
+    m_asked = false;
+    m_next = at + retry_after_failure;
+}
+
+void step_advice::refused(const std::string& target) {
+    const auto found = m_tickets.find(target);
+    if (found != m_tickets.end())
+        found->second.valid_until = {};
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/advice_book.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "jobs/cell_config.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlarhub {
+
+/// Something to ask the advice service: which of these targets may run the step.
+struct advice_question {
+    std::string step;
+    std::vector<std::string> targets;
+    milliseconds cost{0}; ///< how long the service works on it
+};
+
+struct advice_ticket {
+    std::string target;
+    std::string text;
+};
+
+/// Which targets may run a step and the tickets that say so. Which ones are good never changes while a
+/// target lives; a ticket does expire.
+class step_advice {
+public:
+    /// The ticket for a start at `target`, or nothing when there is none that is valid.
+    [[nodiscard]] const std::string* ticket(instant at, const std::string& target) const;
+    [[nodiscard]] bool good(const std::string& target) const { return m_tickets.contains(target); }
+    [[nodiscard]] bool known(const std::string& target) const { return m_known.contains(target); }
+    [[nodiscard]] bool asked() const { return m_asked; }
+    [[nodiscard]] bool due(instant at) const { return !m_asked && at >= m_next; }
+
+    void ask();
+    void answered(instant at, const std::vector<std::string>& targets,
+                  const std::vector<advice_ticket>& good, milliseconds valid);
+    void failed(instant at);
+    /// The target refused the ticket.
+    void refused(const std::string& target);
+
+private:
+    struct entry {
+        std::string text;
+        instant valid_until{};
+    };
+    bool m_asked = false;
+    instant m_next{};
+    std::set<std::string> m_known;
+    std::map<std::string, entry> m_tickets;
+};
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/engine.cpp
@@ -0,0 +1,530 @@
+#include "jobs/engine.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+/// Progress that no caller waits for shares a later write within this time.
+constexpr milliseconds lazy_write{250};
+constexpr std::size_t rows_at_a_time = 40;
+constexpr milliseconds pass_period{100};
+constexpr milliseconds forget_period{2000};
+constexpr std::size_t forget_batch = 10;
+/// An end later than this many times the goal is worth nothing more.
+constexpr int hopeless_factor = 3;
+
+/// The longest chain of estimates through a job's steps.
+milliseconds chain_of(const pb::job_spec& spec) {
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const auto& step : spec.steps()) {
+        std::int64_t begin = 0;
+        for (const auto earlier : step.after())
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        ends.push_back(begin + step.estimate_ms());
+        longest = std::max(longest, ends.back());
+    }
+    return milliseconds{longest};
+}
+
+} // namespace
+
+resources need_of(const pb::step_spec& step) {
+    resources need{step.need().cpu_milli(), step.need().memory_mb(), step.need().accelerators()};
+    if (step.fills_spare())
+        need.cpu_milli = 0;
+    return need;
+}
+
+std::optional<std::string> fault_of(const pb::job_spec& spec) {
+    constexpr int max_tasks = 10'000;
+    constexpr int max_steps = 1000;
+    if (spec.steps().empty() || spec.steps_size() > max_steps)
+        return "a job has 1 to 1000 steps";
+    for (int i = 0; i < spec.steps_size(); ++i) {
+        const auto& step = spec.steps(i);
+        if (step.count() < 1 || step.count() > max_tasks)
+            return "a step has 1 to 10000 tasks";
+        if (step.need().cpu_milli() < 0 || step.need().memory_mb() < 0 || step.need().accelerators() < 0)
+            return "a need is not negative";
+        for (const auto earlier : step.after()) {
+            if (earlier < 0 || earlier >= i)
+                return "a step comes after earlier steps only";
+        }
+    }
+    return {};
+}
+
+job_engine::job_engine(engine_options options)
+    : m_options{options}, m_config{std::make_shared<cell_config>()} {}
+job_engine::~job_engine() = default;
+
+void job_engine::note(std::string what, std::string job, std::string detail) {
+    m_events.push_back({std::move(what), std::move(job), std::move(detail)});
+}
+
+std::vector<engine_event> job_engine::take_events() {
+    return std::exchange(m_events, {});
+}
+
+// ---- Recovery ----
+
+void job_engine::restore(const std::map<std::string, pb::job_spec>& specs,
+                         const std::map<std::string, pb::job_progress>& progress) {
+    std::vector<std::pair<std::int64_t, std::string>> ended;
+    for (const auto& [id, row] : progress) {
+        auto& job = m_jobs[id];
+        job.phase = row.state();
+        job.queue = row.queue();
+        job.team = row.team();
+        job.ended_ms = row.ended_ms();
+        job.finished_occurrences = row.finished_occurrences();
+        job.version = 1;
+        job.durable = 1;
+        if (job.phase != pb::job_progress::open)
+            ended.emplace_back(job.ended_ms, id);
+    }
+    std::ranges::sort(ended);
+    for (const auto& [at, id] : ended)
+        m_ended.push_back(id);
+    for (const auto& [id, spec] : specs) {
+        auto& job = m_jobs[id];
+        job.has_spec_row = true;
+        job.spec = spec;
+        job.queue = spec.queue();
+        job.team = spec.team();
+        if (job.phase != pb::job_progress::open)
+            continue;
+        job.doubtful = true;
+        m_open.insert(id);
+        const auto row = progress.find(id);
+        const auto at = from_ms(spec.accepted_ms());
+        if (row != progress.end()) {
+            for (const auto& occurrence : row->second.occurrences()) {
+                open_occurrence(at, job, occurrence.number(), &occurrence);
+                job.next_occurrence = std::max(job.next_occurrence, occurrence.number() + 1);
+            }
+            job.next_occurrence = std::max(job.next_occurrence, job.finished_occurrences);
+        }
+        if (spec.times() > 0)
+            m_timed.insert(id);
+        else if (job.occurrences.empty())
+            open_occurrence(at, job, 0, nullptr);
+    }
+    // An open job without its spec can't be: both rows are written in one transaction.
+    std::erase_if(m_jobs, [](const auto& entry) {
+        return entry.second.phase == pb::job_progress::open && !entry.second.has_spec_row;
+    });
+}
+
+void job_engine::restore_roster(instant at, const std::vector<std::string>& targets) {
+    m_unclaimed.insert(targets.begin(), targets.end());
+    m_roster.insert(targets.begin(), targets.end());
+    m_roster_written = m_roster;
+    m_doubt = true;
+    m_doubt_ends = at + m_options.unknown_runs;
+    claim_done(at);
+}
+
+// ---- Declarations ----
+
+void job_engine::set_config(std::shared_ptr<const cell_config> config) {
+    m_config = std::move(config);
+    m_changed = true;
+}
+
+void job_engine::set_drained(const std::set<std::string>& data_centres) {
+    m_drained = data_centres;
+    m_changed = true;
+}
+
+// ---- Callers ----
+
+job_engine::job_state* job_engine::find(const std::string& job) {
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+accept_outcome job_engine::accept(instant at, pb::job_spec spec) {
+    if (m_jobs.contains(spec.id()))
+        return accept_outcome::known;
+    if (fault_of(spec))
+        return accept_outcome::invalid;
+    const auto id = spec.id();
+    spec.set_accepted_ms(to_ms(at));
+    auto& job = m_jobs[id];
+    job.queue = spec.queue();
+    job.team = spec.team();
+    job.spec = std::move(spec);
+    const auto team = m_config->teams.find(job.team);
+    if (team != m_config->teams.end())
+        job.beyond_rate = !m_rates[job.team].take(at, team->second.jobs_per_second);
+    m_open.insert(id);
+    if (job.spec.times() > 0) {
+        m_timed.insert(id);
+        open_due_occurrences(at, job);
+    } else {
+        open_occurrence(at, job, 0, nullptr);
+    }
+    touch(at, job, true);
+    m_changed = true;
+    return accept_outcome::accepted;
+}
+
+bool job_engine::cancel(instant at, const std::string& id) {
+    auto* job = find(id);
+    if (job == nullptr)
+        return false;
+    if (job->phase == pb::job_progress::open)
+        end_job(at, *job, pb::job_progress::cancelled);
+    return true;
+}
+
+bool job_engine::known(const std::string& job) const {
+    return m_jobs.contains(job);
+}
+
+bool job_engine::durable(const std::string& job) const {
+    const auto found = m_jobs.find(job);
+    return found != m_jobs.end() && found->second.durable >= found->second.version;
+}
+
+pb::job_answer::job_state job_engine::state(const std::string& id) const {
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return pb::job_answer::none;
+    const auto& job = found->second;
+    const bool written = job.durable >= job.version;
+    if (job.phase != pb::job_progress::open && written) {
+        switch (job.phase) {
+        case pb::job_progress::completed:
+            return pb::job_answer::completed;
+        case pb::job_progress::failed:
+            return pb::job_answer::failed;
+        default:
+            return pb::job_answer::cancelled;
+        }
+    }
+    return job.started ? pb::job_answer::running : pb::job_answer::queued;
+}
+
+std::int64_t job_engine::pending(const std::string& queue) const {
+    return std::ranges::count_if(m_open, [&](const std::string& id) {
+        const auto& job = m_jobs.at(id);
+        return !job.started && job.queue == queue && job.durable > 0;
+    });
+}
+
+// ---- Occurrences, steps, ends ----
+
+void job_engine::open_occurrence(instant at, job_state& job, int number,
+                                 const pb::occurrence_progress* from) {
+    auto& made = job.occurrences[number];
+    const auto& spec = job.spec;
+    made.steps.resize(static_cast<std::size_t>(spec.steps_size()));
+    made.open = made.steps.size();
+    for (int i = 0; i < spec.steps_size(); ++i) {
+        auto& step = made.steps[static_cast<std::size_t>(i)];
+        step.tasks.resize(static_cast<std::size_t>(spec.steps(i).count()));
+        step.open = step.tasks.size();
+        if (from == nullptr || i >= from->steps_size())
+            continue;
+        const auto& known = from->steps(i);
+        step.gang_failed_runs.assign(known.gang_failed_runs().begin(), known.gang_failed_runs().end());
+        step.gang_saved = known.gang_saved();
+        for (int k = 0; k < known.tasks_size() && k < spec.steps(i).count(); ++k) {
+            auto& task = step.tasks[static_cast<std::size_t>(k)];
+            task.done = known.tasks(k).done();
+            task.failed_runs.assign(known.tasks(k).failed_runs().begin(), known.tasks(k).failed_runs().end());
+            task.saved = known.tasks(k).saved();
+            step.open -= task.done ? 1 : 0;
+        }
+        made.open -= step.open == 0 ? 1 : 0;
+    }
+    const auto queue = m_config->queues.find(job.queue);
+    const auto stretch = queue == m_config->queues.end() ? 1.0 : queue->second.stretch;
+    const auto goal = queue == m_config->queues.end() ? milliseconds{1000} : queue->second.latency_goal;
+    const milliseconds allowed{
+        static_cast<std::int64_t>(stretch * static_cast<double>(chain_of(spec).count())) + goal.count()};
+    made.turn.beyond_rate = job.beyond_rate;
+    made.turn.priority = queue == m_config->queues.end() ? 0 : queue->second.priority;
+    made.turn.due = at + allowed;
+    made.turn.hopeless = at + hopeless_factor * allowed;
+    set_ready(job, number);
+}
+
+void job_engine::open_due_occurrences(instant at, job_state& job) {
+    const auto& spec = job.spec;
+    while (job.next_occurrence < spec.times()) {
+        const auto due = from_ms(spec.start_at_ms() + job.next_occurrence * spec.interval_ms());
+        if (due > at)
+            return;
+        open_occurrence(due, job, job.next_occurrence, nullptr);
+        ++job.next_occurrence;
+        m_changed = true;
+    }
+    m_timed.erase(spec.id());
+}
+
+void job_engine::set_ready(job_state& job, int occurrence) {
+    auto& steps = job.occurrences.at(occurrence).steps;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const auto& after = job.spec.steps(static_cast<int>(i)).after();
+        steps[i].ready = std::ranges::all_of(after, [&](int earlier) {
+            return steps[static_cast<std::size_t>(earlier)].open == 0;
+        });
+    }
+}
+
+job_engine::step_state* job_engine::find_step(const task_name& name, job_state** job) {
+    auto* found = find(name.job);
+    if (job != nullptr)
+        *job = found;
+    if (found == nullptr)
+        return nullptr;
+    const auto occurrence = found->occurrences.find(name.occurrence);
+    if (occurrence == found->occurrences.end())
+        return nullptr;
+    auto& steps = occurrence->second.steps;
+    if (static_cast<std::size_t>(name.step) >= steps.size())
+        return nullptr;
+    auto& step = steps[static_cast<std::size_t>(name.step)];
+    return static_cast<std::size_t>(name.index) < step.tasks.size() ? &step : nullptr;
+}
+
+void job_engine::task_done(instant at, job_state& job, const task_name& name) {
+    auto& step =
+        job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    auto& task = step.tasks[static_cast<std::size_t>(name.index)];
+    if (task.done)
+        return;
+    const bool gang = job.spec.steps(name.step).gang();
+    if (gang) {
+        for (auto& member : step.tasks)
+            member.done = true;
+        step.open = 0;
+    } else {
+        task.done = true;
+        --step.open;
+    }
+    // Copies of the task elsewhere have become useless; the other members of a gang end by themselves.
+    for (const auto& target : gang ? std::vector<std::string>{} : task.on) {
+        const auto run = m_targets.at(target).runs.find(name.to_string());
+        if (run != m_targets.at(target).runs.end())
+            want_stop(run->second);
+    }
+    touch(at, job, false);
+    if (step.open == 0)
+        step_done(at, job, name.occurrence, name.step);
+}
+
+void job_engine::step_done(instant at, job_state& job, int occurrence, int step) {
+    auto& state = job.occurrences.at(occurrence);
+    note("step_done", job.spec.id(), std::to_string(occurrence) + "." + std::to_string(step));
+    m_changed = true;
+    if (--state.open > 0) {
+        set_ready(job, occurrence);
+        return;
+    }
+    ++job.finished_occurrences;
+    if (job.finished_occurrences >= std::max(job.spec.times(), 1))
+        end_job(at, job, pb::job_progress::completed);
+}
+
+void job_engine::end_job(instant at, job_state& job, pb::job_progress::phase phase) {
+    const auto id = job.spec.id();
+    job.phase = phase;
+    job.ended_ms = to_ms(at);
+    m_open.erase(id);
+    m_timed.erase(id);
+    m_ended.push_back(id);
+    note("job_ended", id, pb::job_progress::phase_Name(phase));
+    stop_runs(job);
+    touch(at, job, true);
+    m_changed = true;
+}
+
+void job_engine::stop_runs(job_state& job) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            const auto& step = occurrence.steps[i];
+            // What ended as done, a gang above all, ends by itself.
+            if (step.open == 0)
+                continue;
+            for (std::size_t k = 0; k < step.tasks.size(); ++k) {
+                const task_name name{job.spec.id(), number, static_cast<int>(i), static_cast<int>(k)};
+                for (const auto& target : step.tasks[k].on)
+                    want_stop(m_targets.at(target).runs.at(name.to_string()));
+            }
+        }
+    }
+}
+
+// ---- The table ----
+
+void job_engine::touch(instant at, job_state& job, bool awaited) {
+    if (m_dirty.empty())
+        m_dirty_since = at;
+    if (awaited)
+        ++job.version;
+    job.dirty = true;
+    m_dirty.insert(job.spec.id());
+    m_awaited = m_awaited || awaited;
+}
+
+bool job_engine::write_due(instant at) const {
+    if (m_rows_out)
+        return false;
+    if (m_awaited || (m_roster_dirty && m_roster != m_roster_written) || !m_forget.empty())
+        return true;
+    return !m_dirty.empty() && at - m_dirty_since >= lazy_write;
+}
+
+pb::job_progress job_engine::progress_of(const job_state& job) {
+    pb::job_progress row;
+    row.set_state(job.phase);
+    row.set_ended_ms(job.ended_ms);
+    row.set_queue(job.queue);
+    row.set_team(job.team);
+    row.set_finished_occurrences(job.finished_occurrences);
+    if (job.phase != pb::job_progress::open)
+        return row;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        auto& to = *row.add_occurrences();
+        to.set_number(number);
+        for (const auto& step : occurrence.steps) {
+            auto& step_row = *to.add_steps();
+            step_row.mutable_gang_failed_runs()->Assign(step.gang_failed_runs.begin(), step.gang_failed_runs.end());
+            step_row.set_gang_saved(step.gang_saved);
+            for (const auto& task : step.tasks) {
+                auto& task_row = *step_row.add_tasks();
+                task_row.set_done(task.done);
+                task_row.mutable_failed_runs()->Assign(task.failed_runs.begin(), task.failed_runs.end());
+                if (!task.done)
+                    task_row.set_saved(task.saved);
+            }
+        }
+    }
+    return row;
+}
+
+job_rows job_engine::take_rows(instant at) {
+    (void)at;
+    job_rows made;
+    m_rows_out = true;
+    m_writing.clear();
+    while (!m_dirty.empty() && made.rows.size() < rows_at_a_time) {
+        const auto id = *m_dirty.begin();
+        m_dirty.erase(m_dirty.begin());
+        auto& job = m_jobs.at(id);
+        job.dirty = false;
+        job.writing = job.version;
+        job_rows::row row;
+        row.job = id;
+        if (job.phase == pb::job_progress::open && !job.has_spec_row)
+            row.spec = job.spec.SerializeAsString();
+        if (job.phase != pb::job_progress::open && job.has_spec_row)
+            row.drop_spec = true;
+        row.progress = progress_of(job).SerializeAsString();
+        job.has_spec_row = job.phase == pb::job_progress::open;
+        made.rows.push_back(std::move(row));
+        m_writing.push_back(id);
+    }
+    for (const auto& id : m_forget) {
+        job_rows::row row;
+        row.job = id;
+        row.drop_progress = true;
+        made.rows.push_back(std::move(row));
+    }
+    m_forget.clear();
+    if (m_roster_dirty && m_roster != m_roster_written) {
+        pb::roster row;
+        for (const auto& target : m_roster)
+            row.add_targets(target);
+        made.roster = row.SerializeAsString();
+        m_roster_written = m_roster;
+    }
+    m_roster_dirty = false;
+    m_awaited = !m_dirty.empty() && m_awaited;
+    m_acks_writing.clear();
+    if (m_dirty.empty()) {
+        for (const auto& [id, target] : m_targets)
+            m_acks_writing[id] = target.seen_upto;
+    }
+    return made;
+}
+
+void job_engine::rows_written(instant at) {
+    m_rows_out = false;
+    for (const auto& id : m_writing) {
+        if (auto* job = find(id))
+            job->durable = std::max(job->durable, job->writing);
+    }
+    m_writing.clear();
+    for (const auto& [id, upto] : m_acks_writing) {
+        const auto target = m_targets.find(id);
+        if (target != m_targets.end() && upto <= target->second.seen_upto)
+            target->second.acked_upto = std::max(target->second.acked_upto, upto);
+    }
+    m_acks_writing.clear();
+    m_changed = true;
+    schedule(at);
+}
+
+void job_engine::forget_old(instant at) {
+    if (at < m_next_forget)
+        return;
+    m_next_forget = at + forget_period;
+    while (!m_ended.empty() && m_forget.size() < forget_batch) {
+        const auto* job = find(m_ended.front());
+        if (job != nullptr) {
+            if (at - from_ms(job->ended_ms) < m_options.retention || job->dirty || job->durable < job->version)
+                return;
+            m_forget.push_back(m_ended.front());
+            m_jobs.erase(m_ended.front());
+        }
+        m_ended.pop_front();
+    }
+}
+
+void job_engine::tick(instant at) {
+    const std::vector<std::string> timed{m_timed.begin(), m_timed.end()};
+    for (const auto& id : timed)
+        open_due_occurrences(at, m_jobs.at(id));
+    check_lapses(at);
+    claim_done(at);
+    forget_old(at);
+    if (at >= m_next_pass) { // tickets, pauses and due times pass without an event
+        m_next_pass = at + pass_period;
+        m_changed = true;
+    }
+    schedule(at);
+}
+
+job_engine::figures job_engine::count() const {
+    figures made;
+    made.open_jobs = m_open.size();
+    made.kept_jobs = m_jobs.size();
+    made.targets = m_targets.size();
+    made.unclaimed = m_unclaimed.size();
+    for (const auto& [id, target] : m_targets) {
+        made.live_runs += target.runs.size();
+        made.held_cpu_milli += target.held.cpu_milli;
+        made.capacity_cpu_milli += target.entry.capacity.cpu_milli;
+    }
+    for (const auto& id : m_open) {
+        for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+            for (const auto& step : occurrence.steps) {
+                if (!step.ready)
+                    continue;
+                made.waiting_tasks += static_cast<std::size_t>(std::ranges::count_if(
+                    step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); }));
+            }
+        }
+    }
+    return made;
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/engine.h
@@ -0,0 +1,330 @@
+#pragma once
+
+#include "jobs/advice_book.h"
+#include "jobs/cell_config.h"
+#include "jobs/target_table.h"
+#include "jobs/task_name.h"
+#include "jobs/waiting_order.h"
+
+#include "jobs.pb.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace medlarhub {
+
+struct engine_options {
+    std::uint64_t epoch = 1;
+    milliseconds lease{4500};       ///< asked for at each poll and start
+    milliseconds poll_wait{1000};   ///< how long a target may hold a poll that has no news
+    milliseconds idle_poll{4000};   ///< between polls of a target that runs nothing
+    milliseconds retention{135'000}; ///< how long an ended job can be asked for
+    milliseconds unknown_runs{0};   ///< after a takeover, how long a target that isn't reached may run tasks
+};
+
+enum class order_kind { start, stop };
+
+/// A command to one target.
+struct target_order {
+    order_kind kind = order_kind::start;
+    std::string target;
+    std::string address;
+    task_name task;
+    int run = 0;
+    std::uint64_t epoch = 0;
+    // Of a start:
+    std::string body;
+    std::string saved;
+    std::string ticket;
+    std::int64_t deadline_ms = 0; ///< on the target's clock
+};
+
+enum class order_outcome {
+    done,
+    fenced,         ///< another owner was seen
+    superseded,     ///< a run as high as this one was seen
+    too_late,       ///< it came after its deadline
+    no_room,
+    bad_ticket,
+    other_target,   ///< another life answers at that address
+    unhealthy,      ///< the target took nothing in
+    malformed,
+    not_sent,       ///< nobody listens there
+    lost,           ///< no answer: it may be carried out
+};
+
+struct poll_order {
+    std::string target;
+    std::string address;
+    std::uint64_t epoch = 0;
+    std::int64_t acked_upto = 0;
+    std::optional<std::int64_t> deadline_ms; ///< on the target's clock
+    milliseconds wait{0};
+};
+
+struct listed_run {
+    std::string task;
+    int run = 0;
+    std::string saved;
+    int percent = 0;
+};
+
+enum class end_kind { done, failed, stopped, lapsed, broken, alone };
+
+struct listed_end {
+    std::int64_t number = 0;
+    std::string task;
+    int run = 0;
+    end_kind how = end_kind::failed;
+    std::string saved;
+};
+
+struct poll_result {
+    order_outcome outcome = order_outcome::lost;
+    std::int64_t clock_ms = 0;
+    std::int64_t born_ms = 0; ///< 0 when not told
+    std::vector<listed_run> running;
+    std::vector<listed_end> ended;
+};
+
+enum class accept_outcome { accepted, known, invalid };
+
+/// Rows of jobs to write in one transaction.
+struct job_rows {
+    struct row {
+        std::string job;
+        std::optional<std::string> spec;     ///< to put
+        std::optional<std::string> progress; ///< to put
+        bool drop_spec = false;
+        bool drop_progress = false;
+    };
+    std::vector<row> rows;
+    std::optional<std::string> roster;
+};
+
+/// One thing that was decided, for the log.
+struct engine_event {
+    std::string what;
+    std::string job;
+    std::string detail;
+};
+
+/// The jobs of one partition as its owner sees them: accepts, places, follows and ends them. It does no input
+/// or output: what is to be sent, asked or written is fetched from it, and what came back is told to it. Not
+/// safe for concurrent use.
+class job_engine {
+public:
+    explicit job_engine(engine_options options);
+    ~job_engine();
+    job_engine(const job_engine&) = delete;
+    job_engine& operator=(const job_engine&) = delete;
+
+    // Recovery, before anything else.
+    void restore(const std::map<std::string, pb::job_spec>& specs,
+                 const std::map<std::string, pb::job_progress>& progress);
+    /// Targets that may still run tasks started by earlier owners.
+    void restore_roster(instant at, const std::vector<std::string>& targets);
+
+    // Declarations.
+    void set_config(std::shared_ptr<const cell_config> config);
+    void set_drained(const std::set<std::string>& data_centres);
+    void set_targets(instant at, const std::vector<target_entry>& targets);
+
+    // Callers.
+    accept_outcome accept(instant at, pb::job_spec spec);
+    /// False when there is no such job.
+    bool cancel(instant at, const std::string& job);
+    [[nodiscard]] bool known(const std::string& job) const;
+    /// Whether all that callers may be told of the job is written.
+    [[nodiscard]] bool durable(const std::string& job) const;
+    [[nodiscard]] pb::job_answer::job_state state(const std::string& job) const;
+    [[nodiscard]] std::int64_t pending(const std::string& queue) const;
+
+    // The table.
+    [[nodiscard]] bool write_due(instant at) const;
+    /// Rows to write next; only one set is out at a time.
+    [[nodiscard]] job_rows take_rows(instant at);
+    void rows_written(instant at);
+
+    // Targets.
+    [[nodiscard]] std::vector<target_order> take_orders(instant at);
+    void answered(instant at, const target_order& order, order_outcome outcome, std::int64_t clock_ms);
+    [[nodiscard]] std::vector<poll_order> take_polls(instant at);
+    void polled(instant at, instant sent, const poll_order& order, const poll_result& result);
+
+    // Advice.
+    [[nodiscard]] std::vector<advice_question> take_questions();
+    void advised(instant at, const advice_question& question, const std::vector<advice_ticket>& good,
+                 milliseconds valid);
+    void advice_failed(instant at, const std::string& step);
+
+    void tick(instant at);
+    /// True once a target refused this owner's epoch.
+    [[nodiscard]] bool fenced() const { return m_fenced; }
+    [[nodiscard]] std::vector<engine_event> take_events();
+
+    struct figures {
+        std::size_t open_jobs = 0;
+        std::size_t kept_jobs = 0;
+        std::size_t waiting_tasks = 0;
+        std::size_t live_runs = 0;
+        std::size_t targets = 0;
+        std::size_t unclaimed = 0;
+        std::int64_t held_cpu_milli = 0;
+        std::int64_t capacity_cpu_milli = 0;
+    };
+    [[nodiscard]] figures count() const;
+
+private:
+    struct task_state {
+        bool done = false;
+        std::vector<int> failed_runs;
+        int last_run = 0;
+        std::string saved;
+        std::vector<std::string> on; ///< targets with a live run of it
+        instant not_before{};
+        std::string avoid; ///< the target where it failed last
+    };
+
+    struct step_state {
+        std::vector<task_state> tasks;
+        std::size_t open = 0; ///< tasks not done
+        bool ready = false;
+        std::vector<int> gang_failed_runs;
+        std::string gang_saved;
+        step_advice advice;
+    };
+
+    struct occurrence_state {
+        std::vector<step_state> steps;
+        std::size_t open = 0; ///< steps not done
+        waiting_step turn;
+    };
+
+    struct job_state {
+        pb::job_spec spec;
+        pb::job_progress::phase phase = pb::job_progress::open;
+        std::string queue;
+        std::string team;
+        std::int64_t ended_ms = 0;
+        bool has_spec_row = false;
+        bool started = false; ///< a task has started
+        bool doubtful = false; ///< from before the takeover: its tasks may run where nobody looked yet
+        bool beyond_rate = false;
+        int next_occurrence = 0;
+        int finished_occurrences = 0;
+        std::map<int, occurrence_state> occurrences;
+        std::uint64_t version = 0; ///< of what callers may be told
+        std::uint64_t writing = 0;
+        std::uint64_t durable = 0;
+        bool dirty = false;
+    };
+
+    struct ready_step {
+        job_state* job = nullptr;
+        int occurrence = 0;
+        int step = 0;
+        const waiting_step* turn = nullptr;
+    };
+
+    // engine.cpp: jobs and their ends.
+    job_state* find(const std::string& job);
+    step_state* find_step(const task_name& name, job_state** job);
+    void open_occurrence(instant at, job_state& job, int number, const pb::occurrence_progress* from);
+    void open_due_occurrences(instant at, job_state& job);
+    void set_ready(job_state& job, int occurrence);
+    void task_done(instant at, job_state& job, const task_name& name);
+    void step_done(instant at, job_state& job, int occurrence, int step);
+    void end_job(instant at, job_state& job, pb::job_progress::phase phase);
+    void stop_runs(job_state& job);
+    void touch(instant at, job_state& job, bool awaited);
+    [[nodiscard]] static pb::job_progress progress_of(const job_state& job);
+    void forget_old(instant at);
+    void note(std::string what, std::string job, std::string detail);
+
+    // engine_targets.cpp: runs at targets.
+    void release(target_state& target, const live_run& run);
+    void drop_run(instant at, target_state& target, const std::string& task, std::string_view why);
+    void drop_all(instant at, target_state& target, std::string_view why, bool unsure_too);
+    void want_stop(live_run& run);
+    void take_end(instant at, target_state& target, const listed_end& end);
+    void run_failed(instant at, target_state& target, job_state& job, const task_name& name, int number);
+    void start_answered(instant at, target_state& target, const target_order& order, order_outcome outcome);
+    void stop_answered(instant at, target_state& target, const target_order& order, order_outcome outcome);
+    void adopt_or_stray(instant at, target_state& target, const listed_run& run);
+    void take_running(instant at, instant sent, target_state& target, const poll_result& result);
+    bool adopt(instant at, target_state& target, const task_name& name, const listed_run& run);
+    void break_gang(job_state& job, const task_name& name);
+    void new_life(instant at, target_state& target, std::int64_t born_ms);
+    void check_lapses(instant at);
+    void claim_done(instant at);
+
+    // engine_schedule.cpp: who runs where.
+    void schedule(instant at);
+    void schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
+    bool place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
+                    bool only_try);
+    /// Holds targets back from later steps until a gang that has no room yet finds some.
+    void reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved);
+    void place(instant at, const ready_step& ready, int index, target_state& target, int number,
+               const std::string& saved);
+    void ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates);
+    [[nodiscard]] std::vector<target_state*> candidates(instant at, const ready_step& ready);
+    [[nodiscard]] bool usable(instant at, const target_state& target) const;
+    [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
+    [[nodiscard]] int next_number(int last) const;
+
+    engine_options m_options;
+    std::shared_ptr<const cell_config> m_config;
+    std::set<std::string> m_drained;
+    std::unordered_map<std::string, job_state> m_jobs;
+    std::set<std::string> m_open;
+    std::set<std::string> m_timed; ///< open jobs with occurrences to come
+    std::map<std::string, target_state> m_targets;
+    std::set<std::string> m_unclaimed; ///< of the roster, since the takeover
+    instant m_doubt_ends{};
+    bool m_doubt = false;
+    std::map<std::string, resources> m_held; ///< by team
+    std::map<std::string, rate_allowance> m_rates;
+    std::deque<std::string> m_ended; ///< by time of their end
+
+    std::vector<advice_question> m_questions;
+    std::map<std::string, task_name> m_asked_steps;
+    std::vector<engine_event> m_events;
+    struct placed_order {
+        std::string target;
+        std::string task;
+        std::string ticket;
+    };
+    std::vector<placed_order> m_starts;
+
+    std::set<std::string> m_dirty;
+    bool m_awaited = false; ///< a caller waits for one of them
+    instant m_dirty_since{};
+    std::vector<std::string> m_writing;
+    std::map<std::string, std::int64_t> m_acks_writing;
+    bool m_rows_out = false;
+    std::set<std::string> m_roster;
+    bool m_roster_dirty = false;
+    std::set<std::string> m_roster_written;
+    std::vector<std::string> m_forget;
+    instant m_next_forget{};
+    instant m_next_pass{};
+
+    bool m_stops = false;  ///< a stop may be due
+    bool m_changed = true; ///< something that may let a step be placed
+    bool m_fenced = false;
+};
+
+/// Why a spec can't be taken, or nothing when it can.
+std::optional<std::string> fault_of(const pb::job_spec& spec);
+
+resources need_of(const pb::step_spec& step);
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/engine_schedule.cpp
@@ -0,0 +1,343 @@
+// Who runs where: which steps get their turn, and on which targets.
+
+#include "jobs/engine.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace medlarhub {
+
+namespace {
+
+/// Run numbers of one epoch; the numbers of the next epoch lie above all of them.
+constexpr int runs_per_epoch = 1000;
+/// Targets that one question to the advice service names at most.
+constexpr std::size_t asked_at_a_time = 30;
+/// Gangs that may hold targets back for themselves at a time.
+constexpr int reserving_gangs = 2;
+
+std::int64_t fits_in(const resources& need, const resources& free) {
+    auto fits = std::numeric_limits<std::int64_t>::max();
+    const auto limit = [&](std::int64_t wanted, std::int64_t left) {
+        if (wanted > 0)
+            fits = std::min(fits, std::max<std::int64_t>(left, 0) / wanted);
+    };
+    limit(need.cpu_milli, free.cpu_milli);
+    limit(need.memory_mb, free.memory_mb);
+    limit(need.accelerators, free.accelerators);
+    return fits;
+}
+
+} // namespace
+
+int job_engine::next_number(int last) const {
+    const auto base = static_cast<int>(m_options.epoch - 1) * runs_per_epoch;
+    return std::max(last, base) + 1;
+}
+
+bool job_engine::usable(instant at, const target_state& target) const {
+    return target.listed && target.claimed && !target.suspect && !target.entry.draining &&
+           at >= target.avoid_until && !m_drained.contains(target.entry.data_centre);
+}
+
+bool job_engine::within_cap(const std::string& team, const resources& need) const {
+    const auto policy = m_config->teams.find(team);
+    if (policy == m_config->teams.end())
+        return true;
+    const auto& cap = policy->second.cap;
+    const auto found = m_held.find(team);
+    const auto held = found == m_held.end() ? resources{} : found->second;
+    const auto fits = [](std::int64_t limit, std::int64_t used, std::int64_t more) {
+        return limit <= 0 || more <= 0 || used + more <= limit || used <= 0;
+    };
+    return fits(cap.cpu_milli, held.cpu_milli, need.cpu_milli) &&
+           fits(cap.memory_mb, held.memory_mb, need.memory_mb) &&
+           fits(cap.accelerators, held.accelerators, need.accelerators);
+}
+
+void job_engine::schedule(instant at) {
+    if (!m_changed)
+        return;
+    m_changed = false;
+    std::vector<ready_step> waiting;
+    for (const auto& id : m_open) {
+        auto& job = m_jobs.at(id);
+        if (job.doubtful)
+            continue;
+        for (auto& [number, occurrence] : job.occurrences) {
+            if (occurrence.open == 0)
+                continue;
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& step = occurrence.steps[i];
+                if (!step.ready || step.open == 0)
+                    continue;
+                const bool queued = std::ranges::any_of(
+                    step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
+                if (queued)
+                    waiting.push_back({&job, number, static_cast<int>(i), &occurrence.turn});
+            }
+        }
+    }
+    std::ranges::stable_sort(waiting, [&](const ready_step& left, const ready_step& right) {
+        return goes_before(at, *left.turn, *right.turn);
+    });
+    std::set<std::string> reserved;
+    int reserving = 0;
+    for (const auto& ready : waiting) {
+        const auto before = reserved.size();
+        schedule_step(at, ready, reserved);
+        if (reserved.size() != before && ++reserving >= reserving_gangs)
+            break;
+    }
+}
+
+std::vector<target_state*> job_engine::candidates(instant at, const ready_step& ready) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need = need_of(spec);
+    const auto queue = m_config->queues.find(ready.job->queue);
+    std::vector<target_state*> found;
+    if (queue == m_config->queues.end())
+        return found;
+    for (auto& [id, target] : m_targets) {
+        if (!usable(at, target) || target.entry.service != queue->second.service)
+            continue;
+        if (!spec.required_label().empty() &&
+            std::ranges::find(target.entry.labels, spec.required_label()) == target.entry.labels.end())
+            continue;
+        if (!has_room(need, target.free()))
+            continue;
+        found.push_back(&target);
+    }
+    return found;
+}
+
+void job_engine::schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need = need_of(spec);
+    if (!within_cap(ready.job->team, need))
+        return;
+    auto all = candidates(at, ready);
+    const auto queue = m_config->queues.find(ready.job->queue);
+    if (queue == m_config->queues.end())
+        return;
+    std::erase_if(all, [&](const target_state* target) { return reserved.contains(target->entry.id); });
+    auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    const bool advised = queue->second.advice.has_value();
+    auto allowed = all;
+    if (advised) {
+        std::erase_if(allowed, [&](const target_state* target) {
+            return step.advice.ticket(at, target->entry.id) == nullptr;
+        });
+    }
+    const bool durable = ready.job->durable > 0;
+    if (spec.gang()) {
+        if (durable && place_gang(at, ready, allowed, false))
+            return;
+        if (advised)
+            ask_advice(at, ready, all);
+        reserve(at, ready, advised, reserved);
+        return;
+    }
+    std::map<std::string, int> placed_on;
+    bool left = false;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        for (const auto& target : step.tasks[i].on)
+            ++placed_on[target];
+    }
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const auto& task = step.tasks[i];
+        if (task.done || !task.on.empty())
+            continue;
+        if (task.not_before > at) {
+            m_changed = true;
+            continue;
+        }
+        if (!durable || !within_cap(ready.job->team, need)) {
+            left = true;
+            break;
+        }
+        target_state* best = nullptr;
+        std::tuple<bool, bool, std::int64_t> best_rank{};
+        for (auto* target : allowed) {
+            const auto free = target->free();
+            if (!has_room(need, free))
+                continue;
+            if (spec.max_per_target() > 0 && placed_on[target->entry.id] >= spec.max_per_target())
+                continue;
+            const bool far = !spec.preferred_rack().empty() && target->entry.rack != spec.preferred_rack();
+            const std::tuple rank{task.avoid == target->entry.id, far, free.cpu_milli - need.cpu_milli};
+            if (best == nullptr || rank < best_rank) {
+                best = target;
+                best_rank = rank;
+            }
+        }
+        if (best == nullptr) {
+            left = true;
+            break;
+        }
+        ++placed_on[best->entry.id];
+        place(at, ready, static_cast<int>(i), *best, next_number(task.last_run), task.saved);
+    }
+    if (left && advised)
+        ask_advice(at, ready, all);
+}
+
+bool job_engine::place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
+                            bool only_try) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need = need_of(spec);
+    auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    int last = 0;
+    for (const auto& task : step.tasks) {
+        if (!task.on.empty())
+            return false; // a run of before is still on its way out
+        if (task.not_before > at) {
+            m_changed = true;
+            return false;
+        }
+        last = std::max(last, task.last_run);
+    }
+    const auto count = static_cast<std::int64_t>(step.tasks.size());
+    const resources total{need.cpu_milli * count, need.memory_mb * count, need.accelerators * count};
+    if (!within_cap(ready.job->team, total))
+        return false;
+    std::map<std::string, std::vector<target_state*>> groups;
+    for (auto* target : candidates)
+        groups[spec.same_rack() ? target->entry.rack : std::string{}].push_back(target);
+    for (auto& [rack, group] : groups) {
+        // Fuller targets first: what stays free stays in large pieces.
+        std::ranges::stable_sort(group, {}, [](const target_state* target) { return target->free().cpu_milli; });
+        std::vector<target_state*> chosen;
+        for (auto* target : group) {
+            auto fits = fits_in(need, target->free());
+            if (spec.max_per_target() > 0)
+                fits = std::min<std::int64_t>(fits, spec.max_per_target());
+            while (fits-- > 0 && static_cast<std::int64_t>(chosen.size()) < count)
+                chosen.push_back(target);
+        }
+        if (static_cast<std::int64_t>(chosen.size()) < count)
+            continue;
+        if (only_try)
+            return true;
+        const auto number = next_number(last);
+        const auto saved = step.gang_saved;
+        for (std::size_t i = 0; i < step.tasks.size(); ++i)
+            place(at, ready, static_cast<int>(i), *chosen[i], number, saved);
+        return true;
+    }
+    return false;
+}
+
+void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto& step =
+        ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    const auto need = need_of(spec);
+    const auto& service = m_config->queues.at(ready.job->queue).service;
+    std::vector<const target_state*> by_free;
+    for (const auto& [id, target] : m_targets) {
+        if (usable(at, target) && target.entry.service == service && !reserved.contains(id) &&
+            has_room(need, target.entry.capacity) && (!advised || step.advice.good(id)))
+            by_free.push_back(&target);
+    }
+    std::ranges::stable_sort(by_free, std::ranges::greater{},
+                             [](const target_state* target) { return target->free().cpu_milli; });
+    std::int64_t missing = spec.count();
+    for (const auto* target : by_free) {
+        if (missing <= 0)
+            return;
+        missing -= fits_in(need, target->entry.capacity);
+        reserved.insert(target->entry.id);
+    }
+}
+
+void job_engine::place(instant at, const ready_step& ready, int index, target_state& target, int number,
+                       const std::string& saved) {
+    const task_name name{ready.job->spec.id(), ready.occurrence, ready.step, index};
+    auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    auto& task = step.tasks[static_cast<std::size_t>(index)];
+    live_run run;
+    run.task = name;
+    run.number = number;
+    run.held = need_of(ready.job->spec.steps(ready.step));
+    run.team = ready.job->team;
+    run.placed = at;
+    run.saved = saved;
+    target.held += run.held;
+    m_held[run.team] += run.held;
+    task.on.push_back(target.entry.id);
+    task.last_run = number;
+    const auto text = name.to_string();
+    const auto* ticket = step.advice.ticket(at, target.entry.id);
+    m_starts.push_back({target.entry.id, text, ticket == nullptr ? std::string{} : *ticket});
+    target.runs[text] = std::move(run);
+}
+
+void job_engine::ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates) {
+    auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    if (!step.advice.due(at)) {
+        m_changed = m_changed || !step.advice.asked();
+        return;
+    }
+    const auto& policy = *m_config->queues.at(ready.job->queue).advice;
+    std::vector<target_state*> useful;
+    std::vector<target_state*> unknown;
+    for (auto* target : candidates) {
+        const auto& id = target->entry.id;
+        if (step.advice.good(id))
+            useful.push_back(target);
+        else if (!step.advice.known(id))
+            unknown.push_back(target);
+    }
+    std::ranges::stable_sort(unknown, std::ranges::greater{},
+                             [](const target_state* target) { return target->free().cpu_milli; });
+    if (unknown.size() > asked_at_a_time)
+        unknown.resize(asked_at_a_time);
+    useful.insert(useful.end(), unknown.begin(), unknown.end());
+    if (ready.job->spec.steps(ready.step).gang() && !place_gang(at, ready, useful, true))
+        return;
+    advice_question question;
+    question.step = task_name{ready.job->spec.id(), ready.occurrence, ready.step, 0}.step_string();
+    for (const auto* target : useful) {
+        if (step.advice.ticket(at, target->entry.id) == nullptr)
+            question.targets.push_back(target->entry.id);
+    }
+    if (question.targets.empty())
+        return;
+    const auto cost = policy.decide + policy.per_target * static_cast<double>(question.targets.size());
+    question.cost = std::chrono::duration_cast<milliseconds>(cost);
+    step.advice.ask();
+    m_asked_steps[question.step] = {ready.job->spec.id(), ready.occurrence, ready.step, 0};
+    m_questions.push_back(std::move(question));
+}
+
+std::vector<advice_question> job_engine::take_questions() {
+    return std::exchange(m_questions, {});
+}
+
+void job_engine::advised(instant at, const advice_question& question, const std::vector<advice_ticket>& good,
+                         milliseconds valid) {
+    const auto asked = m_asked_steps.find(question.step);
+    if (asked == m_asked_steps.end())
+        return;
+    auto* step = find_step(asked->second, nullptr);
+    m_asked_steps.erase(asked);
+    if (step == nullptr)
+        return;
+    step->advice.answered(at, question.targets, good, valid);
+    m_changed = true;
+    schedule(at);
+}
+
+void job_engine::advice_failed(instant at, const std::string& text) {
+    const auto asked = m_asked_steps.find(text);
+    if (asked == m_asked_steps.end())
+        return;
+    auto* step = find_step(asked->second, nullptr);
+    m_asked_steps.erase(asked);
+    if (step != nullptr)
+        step->advice.failed(at);
+    m_changed = true;
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/engine_targets.cpp
@@ -0,0 +1,547 @@
+// Runs at targets: what was ordered, what targets list, what is taken as ended.
+
+#include "jobs/engine.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+constexpr milliseconds stop_retry{300};
+constexpr milliseconds poll_retry{250};
+constexpr milliseconds poll_spacing{25};
+constexpr milliseconds unhealthy_pause{1000};
+constexpr milliseconds no_room_pause{100};
+constexpr milliseconds malformed_pause{1000};
+constexpr milliseconds failed_pause{50};
+/// Failed ends in a row, of unlike jobs, after which a target is given nothing for a while.
+constexpr int failing_after = 3;
+constexpr milliseconds failing_pause{4000};
+constexpr int failing_most_doublings = 2;
+/// Polls refused by the target's machine after which its process counts as dead.
+constexpr int dead_after = 2;
+
+bool add_number(std::vector<int>& numbers, int number) {
+    if (std::ranges::find(numbers, number) != numbers.end())
+        return false;
+    numbers.push_back(number);
+    return true;
+}
+
+} // namespace
+
+// ---- The list of targets ----
+
+void job_engine::set_targets(instant at, const std::vector<target_entry>& targets) {
+    std::set<std::string> listed;
+    for (const auto& entry : targets) {
+        listed.insert(entry.id);
+        auto [found, added] = m_targets.try_emplace(entry.id);
+        auto& target = found->second;
+        if (!added && entry.born_ms != 0 && target.entry.born_ms != 0 &&
+            entry.born_ms > target.entry.born_ms)
+            new_life(at, target, entry.born_ms);
+        const auto born = std::max(entry.born_ms, target.entry.born_ms);
+        target.entry = entry;
+        target.entry.born_ms = born;
+        target.listed = true;
+        if (m_roster.insert(entry.id).second)
+            m_roster_dirty = true;
+    }
+    for (auto& [id, target] : m_targets) {
+        if (!listed.contains(id))
+            target.listed = false;
+    }
+    m_changed = true;
+    schedule(at);
+}
+
+// ---- Orders ----
+
+void job_engine::want_stop(live_run& run) {
+    run.stop_wanted = true;
+    m_stops = true;
+}
+
+std::vector<target_order> job_engine::take_orders(instant at) {
+    std::vector<target_order> orders;
+    for (auto& start : std::exchange(m_starts, {})) {
+        auto& target = m_targets.at(start.target);
+        const auto found = target.runs.find(start.task);
+        if (found == target.runs.end())
+            continue;
+        auto& run = found->second;
+        if (run.stop_wanted) {
+            drop_run(at, target, start.task, "stopped before it was ordered");
+            continue;
+        }
+        run.ordered = true;
+        target_order order;
+        order.target = start.target;
+        order.address = target.entry.address;
+        order.task = run.task;
+        order.run = run.number;
+        order.epoch = m_options.epoch;
+        order.body = m_jobs.at(run.task.job).spec.body();
+        order.saved = run.saved;
+        order.ticket = start.ticket;
+        order.deadline_ms = target.clock_at(at) + m_options.lease.count();
+        target.granted_ms = std::max(target.granted_ms, order.deadline_ms);
+        orders.push_back(std::move(order));
+    }
+    if (!m_stops)
+        return orders;
+    m_stops = false;
+    const auto make_stop = [&](const target_state& target, const task_name& task, int number) {
+        target_order order;
+        order.kind = order_kind::stop;
+        order.target = target.entry.id;
+        order.address = target.entry.address;
+        order.task = task;
+        order.run = number;
+        order.epoch = m_options.epoch;
+        orders.push_back(std::move(order));
+    };
+    for (auto& [id, target] : m_targets) {
+        for (auto& [text, run] : target.runs) {
+            if (!run.stop_wanted || run.stop_out || run.stop_confirmed != instant{} || at < run.next_stop)
+                continue;
+            run.stop_out = true;
+            make_stop(target, run.task, run.number);
+        }
+        for (auto& stray : target.strays) {
+            if (at < stray.next_stop)
+                continue;
+            stray.next_stop = at + unhealthy_pause;
+            make_stop(target, stray.task, stray.number);
+        }
+    }
+    return orders;
+}
+
+void job_engine::answered(instant at, const target_order& order, order_outcome outcome,
+                          std::int64_t /*clock_ms*/) {
+    if (outcome == order_outcome::fenced)
+        m_fenced = true;
+    const auto found = m_targets.find(order.target);
+    if (found == m_targets.end())
+        return;
+    if (order.kind == order_kind::start)
+        start_answered(at, found->second, order, outcome);
+    else
+        stop_answered(at, found->second, order, outcome);
+    schedule(at);
+}
+
+void job_engine::start_answered(instant at, target_state& target, const target_order& order,
+                                order_outcome outcome) {
+    const auto text = order.task.to_string();
+    const auto found = target.runs.find(text);
+    if (found == target.runs.end() || found->second.number != order.run)
+        return;
+    auto& run = found->second;
+    job_state* job = nullptr;
+    auto* step = find_step(order.task, &job);
+    if (outcome == order_outcome::done) {
+        if (run.phase != run_phase::starting)
+            return;
+        run.phase = run_phase::running;
+        run.confirmed = at;
+        run.progressed = at;
+        target.next_poll = std::min(target.next_poll, at);
+        if (job != nullptr)
+            job->started = true;
+        return;
+    }
+    note("start_refused", order.task.job, order.target + " " + text + " " + std::to_string(static_cast<int>(outcome)));
+    if (outcome == order_outcome::lost) {
+        if (run.phase == run_phase::starting)
+            run.phase = run_phase::unsure;
+        want_stop(run);
+        if (job != nullptr)
+            break_gang(*job, order.task);
+        return;
+    }
+    if (outcome == order_outcome::bad_ticket && step != nullptr)
+        step->advice.refused(order.target);
+    if (outcome == order_outcome::unhealthy)
+        target.avoid_until = at + unhealthy_pause;
+    if (outcome == order_outcome::no_room || outcome == order_outcome::too_late ||
+        outcome == order_outcome::not_sent)
+        target.avoid_until = std::max(target.avoid_until, at + no_room_pause);
+    if (outcome == order_outcome::malformed && step != nullptr)
+        step->tasks[static_cast<std::size_t>(order.task.index)].not_before = at + malformed_pause;
+    target.next_poll = at;
+    if (outcome == order_outcome::other_target) {
+        drop_all(at, target, "another target answers there", true);
+        target.claimed = false;
+        return;
+    }
+    drop_run(at, target, text, "the start was refused");
+}
+
+void job_engine::stop_answered(instant at, target_state& target, const target_order& order,
+                               order_outcome outcome) {
+    const auto text = order.task.to_string();
+    const auto found = target.runs.find(text);
+    if (found == target.runs.end() || found->second.number != order.run)
+        return;
+    auto& run = found->second;
+    run.stop_out = false;
+    run.next_stop = at + stop_retry;
+    if (outcome == order_outcome::done || outcome == order_outcome::superseded) {
+        run.stop_confirmed = at;
+        target.next_poll = at;
+        return;
+    }
+    m_stops = true;
+    if (outcome == order_outcome::other_target)
+        drop_all(at, target, "another target answers there", true);
+}
+
+// ---- Polls ----
+
+std::vector<poll_order> job_engine::take_polls(instant at) {
+    std::vector<poll_order> orders;
+    for (auto& [id, target] : m_targets) {
+        if (target.poll_out || at < target.next_poll)
+            continue;
+        poll_order order;
+        order.target = id;
+        order.address = target.entry.address;
+        order.epoch = m_options.epoch;
+        order.acked_upto = target.acked_upto;
+        if (target.claimed && target.clock_read != instant{}) {
+            order.deadline_ms = target.clock_at(at) + m_options.lease.count();
+            target.granted_ms = std::max(target.granted_ms, *order.deadline_ms);
+            if (!target.suspect && !target.runs.empty())
+                order.wait = m_options.poll_wait;
+        }
+        target.poll_out = true;
+        orders.push_back(std::move(order));
+    }
+    return orders;
+}
+
+void job_engine::polled(instant at, instant sent, const poll_order& order, const poll_result& result) {
+    const auto found = m_targets.find(order.target);
+    if (found == m_targets.end())
+        return;
+    auto& target = found->second;
+    target.poll_out = false;
+    target.next_poll = at + poll_retry;
+    if (result.outcome == order_outcome::fenced) {
+        m_fenced = true;
+        return;
+    }
+    if (result.outcome != order_outcome::done) {
+        target.refused_polls = result.outcome == order_outcome::not_sent ? target.refused_polls + 1 : 0;
+        if (!target.suspect)
+            note("target_suspect", {}, order.target);
+        target.suspect = true;
+        const bool dead = target.refused_polls >= dead_after;
+        if (dead || result.outcome == order_outcome::other_target) {
+            drop_all(at, target, dead ? "its process is gone" : "another target answers there", true);
+            target.claimed = false;
+            m_unclaimed.erase(order.target);
+        }
+        schedule(at);
+        return;
+    }
+    target.refused_polls = 0;
+    if (target.suspect)
+        note("target_back", {}, order.target);
+    target.suspect = false;
+    if (result.born_ms != 0 && target.entry.born_ms != 0 && result.born_ms > target.entry.born_ms)
+        new_life(at, target, result.born_ms);
+    else if (result.born_ms != 0 && result.born_ms < target.entry.born_ms)
+        return; // an answer of the life before
+    target.entry.born_ms = std::max(target.entry.born_ms, result.born_ms);
+    target.clock_ms = result.clock_ms;
+    target.clock_read = at;
+    target.last_answer = at;
+    for (const auto& end : result.ended)
+        take_end(at, target, end);
+    take_running(at, sent, target, result);
+    if (!target.claimed) {
+        target.claimed = true;
+        m_changed = true;
+        m_unclaimed.erase(order.target);
+        claim_done(at);
+    }
+    const bool idle = target.runs.empty() && target.strays.empty() && target.acked_upto >= target.seen_upto;
+    target.next_poll = at + (idle ? m_options.idle_poll : poll_spacing);
+    m_stops = m_stops || !target.strays.empty();
+    schedule(at);
+}
+
+void job_engine::take_running(instant at, instant sent, target_state& target, const poll_result& result) {
+    std::map<std::string, const listed_run*> listed;
+    for (const auto& run : result.running)
+        listed[run.task] = &run;
+    std::vector<std::string> gone;
+    for (auto& [text, run] : target.runs) {
+        const auto found = listed.find(text);
+        if (found != listed.end() && found->second->run == run.number) {
+            if (run.phase != run_phase::running) {
+                run.phase = run_phase::running;
+                run.confirmed = at;
+                if (auto* job = find(run.task.job))
+                    job->started = true;
+            }
+            if (found->second->percent != run.percent)
+                run.progressed = at;
+            run.percent = found->second->percent;
+            if (!found->second->saved.empty())
+                run.saved = found->second->saved;
+            continue;
+        }
+        if (run.stop_confirmed != instant{} && run.stop_confirmed < sent)
+            gone.push_back(text);
+        else if (run.phase == run_phase::running && run.confirmed < sent)
+            want_stop(run); // its end was never listed; barred first, then placed again
+    }
+    for (const auto& text : gone)
+        drop_run(at, target, text, "it is barred there");
+    target.strays.clear();
+    for (const auto& run : result.running)
+        adopt_or_stray(at, target, run);
+}
+
+void job_engine::adopt_or_stray(instant at, target_state& target, const listed_run& run) {
+    const auto known = target.runs.find(run.task);
+    if (known != target.runs.end() && known->second.number == run.run)
+        return;
+    const auto name = parse_task_name(run.task);
+    if (!name)
+        return;
+    if (known == target.runs.end() && adopt(at, target, *name, run))
+        return;
+    stray_run stray{*name, run.run, {}, at};
+    job_state* job = nullptr;
+    if (find_step(*name, &job) != nullptr)
+        stray.held = need_of(job->spec.steps(name->step));
+    target.strays.push_back(stray);
+    m_stops = true;
+    note("stray_run", name->job, target.entry.id + " " + run.task + " run " + std::to_string(run.run));
+}
+
+bool job_engine::adopt(instant at, target_state& target, const task_name& name, const listed_run& run) {
+    job_state* job = nullptr;
+    auto* step = find_step(name, &job);
+    if (step == nullptr || job->phase != pb::job_progress::open || !job->doubtful || run.run > next_number(0) - 1)
+        return false;
+    auto& task = step->tasks[static_cast<std::size_t>(name.index)];
+    if (task.done || !task.on.empty() || !step->ready)
+        return false;
+    live_run adopted;
+    adopted.task = name;
+    adopted.number = run.run;
+    adopted.held = need_of(job->spec.steps(name.step));
+    adopted.team = job->team;
+    adopted.phase = run_phase::running;
+    adopted.ordered = true;
+    adopted.placed = adopted.confirmed = adopted.progressed = at;
+    adopted.saved = run.saved;
+    adopted.percent = run.percent;
+    target.held += adopted.held;
+    m_held[job->team] += adopted.held;
+    task.on.push_back(target.entry.id);
+    task.last_run = std::max(task.last_run, run.run);
+    job->started = true;
+    target.runs.emplace(run.task, std::move(adopted));
+    return true;
+}
+
+// ---- Ends ----
+
+void job_engine::release(target_state& target, const live_run& run) {
+    target.held -= run.held;
+    m_held[run.team] -= run.held;
+    job_state* job = nullptr;
+    auto* step = find_step(run.task, &job);
+    if (step != nullptr)
+        std::erase(step->tasks[static_cast<std::size_t>(run.task.index)].on, target.entry.id);
+    m_changed = true;
+}
+
+void job_engine::drop_run(instant at, target_state& target, const std::string& text, std::string_view why) {
+    const auto found = target.runs.find(text);
+    if (found == target.runs.end())
+        return;
+    const auto run = found->second;
+    release(target, run);
+    target.runs.erase(found);
+    job_state* job = nullptr;
+    auto* step = find_step(run.task, &job);
+    note("run_dropped", run.task.job, target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + std::string{why});
+    if (step == nullptr)
+        return;
+    auto& task = step->tasks[static_cast<std::size_t>(run.task.index)];
+    if (!run.saved.empty())
+        task.saved = run.saved;
+    task.not_before = std::max(task.not_before, at);
+    break_gang(*job, run.task);
+}
+
+void job_engine::drop_all(instant at, target_state& target, std::string_view why, bool unsure_too) {
+    std::vector<std::string> texts;
+    for (const auto& [text, run] : target.runs) {
+        const bool settled = run.phase == run_phase::running;
+        if (settled || unsure_too)
+            texts.push_back(text);
+    }
+    for (const auto& text : texts)
+        drop_run(at, target, text, why);
+    target.strays.clear();
+}
+
+void job_engine::break_gang(job_state& job, const task_name& name) {
+    if (!job.spec.steps(name.step).gang())
+        return;
+    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    if (step.open == 0)
+        return;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const task_name member{name.job, name.occurrence, name.step, static_cast<int>(i)};
+        for (const auto& target : step.tasks[i].on) {
+            auto& run = m_targets.at(target).runs.at(member.to_string());
+            if (!run.saved.empty())
+                step.gang_saved = run.saved;
+            want_stop(run);
+        }
+    }
+}
+
+void job_engine::take_end(instant at, target_state& target, const listed_end& end) {
+    if (end.number <= target.seen_upto)
+        return;
+    target.seen_upto = end.number;
+    const auto name = parse_task_name(end.task);
+    if (!name)
+        return;
+    const auto found = target.runs.find(end.task);
+    if (found != target.runs.end() && found->second.number == end.run) {
+        const auto run = found->second;
+        target.runs.erase(found);
+        release(target, run);
+    }
+    job_state* job = nullptr;
+    auto* step = find_step(*name, &job);
+    if (step == nullptr || job->phase != pb::job_progress::open)
+        return;
+    auto& task = step->tasks[static_cast<std::size_t>(name->index)];
+    const auto& spec = job->spec.steps(name->step);
+    job->started = true;
+    task.last_run = std::max(task.last_run, end.run);
+    if (!end.saved.empty() && !task.done) {
+        task.saved = end.saved;
+        if (spec.gang())
+            step->gang_saved = end.saved;
+    }
+    if (end.how == end_kind::done && !spec.long_running()) {
+        target.failures_in_row = 0;
+        task_done(at, *job, *name);
+        return;
+    }
+    if (task.done)
+        return;
+    note("run_ended", name->job, target.entry.id + " " + end.task + " run " + std::to_string(end.run) + ": how " + std::to_string(static_cast<int>(end.how)));
+    break_gang(*job, *name);
+    if (end.how == end_kind::failed)
+        run_failed(at, target, *job, *name, end.run);
+}
+
+void job_engine::run_failed(instant at, target_state& target, job_state& job, const task_name& name,
+                            int number) {
+    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    auto& task = step.tasks[static_cast<std::size_t>(name.index)];
+    const auto& spec = job.spec.steps(name.step);
+    task.avoid = target.entry.id;
+    task.not_before = at + failed_pause;
+    if (target.last_failed_job != name.job) {
+        target.last_failed_job = name.job;
+        ++target.failures_in_row;
+    }
+    if (target.failures_in_row >= failing_after) {
+        const auto doublings = std::min(target.failures_in_row - failing_after, failing_most_doublings);
+        target.avoid_until = at + failing_pause * (1 << doublings);
+        note("target_failing", {}, target.entry.id);
+    }
+    if (spec.long_running())
+        return;
+    auto& failed = spec.gang() ? step.gang_failed_runs : task.failed_runs;
+    if (!add_number(failed, number))
+        return;
+    touch(at, job, false);
+    const auto queue = m_config->queues.find(job.queue);
+    const auto attempts = queue == m_config->queues.end() ? 1 : queue->second.max_attempts;
+    if (static_cast<int>(failed.size()) >= attempts)
+        end_job(at, job, pb::job_progress::failed);
+}
+
+// ---- Lives and leases of targets ----
+
+void job_engine::new_life(instant at, target_state& target, std::int64_t born_ms) {
+    note("target_restarted", {}, target.entry.id);
+    drop_all(at, target, "its target started anew", false);
+    for (auto& [text, run] : target.runs) {
+        run.stop_confirmed = {};
+        want_stop(run);
+    }
+    target.entry.born_ms = born_ms;
+    target.seen_upto = 0;
+    target.acked_upto = 0;
+    target.granted_ms = 0;
+    target.clock_read = {};
+    target.failures_in_row = 0;
+    target.claimed = false;
+    target.next_poll = at;
+}
+
+void job_engine::check_lapses(instant at) {
+    m_stops = true;
+    for (auto it = m_targets.begin(); it != m_targets.end();) {
+        auto& target = it->second;
+        const bool lapsed = target.suspect && target.clock_read != instant{} && at >= target.lapse();
+        if (lapsed && !target.runs.empty())
+            drop_all(at, target, "its lease has lapsed", true);
+        const bool over = !target.listed && target.suspect && target.runs.empty() && !target.poll_out &&
+                          !m_unclaimed.contains(it->first);
+        if (!over) {
+            ++it;
+            continue;
+        }
+        note("target_gone", {}, it->first);
+        if (m_roster.erase(it->first) > 0)
+            m_roster_dirty = true;
+        it = m_targets.erase(it);
+    }
+}
+
+void job_engine::claim_done(instant at) {
+    if (!m_doubt || (!m_unclaimed.empty() && at < m_doubt_ends))
+        return;
+    m_doubt = false;
+    note("runs_known", {}, std::to_string(m_unclaimed.size()) + " targets not reached");
+    m_unclaimed.clear();
+    for (const auto& id : m_open) {
+        auto& job = m_jobs.at(id);
+        if (!job.doubtful)
+            continue;
+        job.doubtful = false;
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& tasks = occurrence.steps[i].tasks;
+                const auto live = std::ranges::count_if(
+                    tasks, [](const task_state& task) { return !task.on.empty(); });
+                if (live != 0 && live != static_cast<std::ptrdiff_t>(tasks.size()))
+                    break_gang(job, {id, number, static_cast<int>(i), 0});
+            }
+        }
+    }
+    m_changed = true;
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/target_table.cpp
@@ -0,0 +1,36 @@
+#include "jobs/target_table.h"
+
+namespace medlarhub {
+
+namespace {
+
+/// How much slower than this node's a target's clock may run.
+constexpr double clock_drift = 0.02;
+constexpr milliseconds lapse_margin{100};
+
+} // namespace
+
+resources target_state::free() const {
+    auto left = entry.capacity;
+    left -= held;
+    for (const auto& stray : strays)
+        left -= stray.held;
+    return left;
+}
+
+std::int64_t target_state::clock_at(instant at) const {
+    return clock_ms + (at - clock_read).count();
+}
+
+instant target_state::lapse() const {
+    const auto ahead = static_cast<double>(granted_ms - clock_ms) / (1 - clock_drift);
+    return clock_read + milliseconds{static_cast<std::int64_t>(ahead)} + lapse_margin;
+}
+
+bool has_room(const resources& need, const resources& free) {
+    const auto fits = [](std::int64_t wanted, std::int64_t left) { return wanted <= 0 || wanted <= left; };
+    return fits(need.cpu_milli, free.cpu_milli) && fits(need.memory_mb, free.memory_mb) &&
+           fits(need.accelerators, free.accelerators);
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/target_table.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "jobs/cell_config.h"
+#include "jobs/task_name.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace medlarhub {
+
+enum class run_phase {
+    starting, ///< the order is out or not yet sent
+    unsure,   ///< the order's answer was lost: it may run, now or later
+    running,
+};
+
+/// One start of a task at a target, from the order until its end is known.
+struct live_run {
+    task_name task;
+    int number = 0;
+    resources held;
+    std::string team;
+    run_phase phase = run_phase::starting;
+    bool ordered = false; ///< the start was handed out for sending
+    instant placed{};
+    instant confirmed{}; ///< when the target said that it runs
+    bool stop_wanted = false;
+    bool stop_out = false; ///< a stop is on its way
+    instant next_stop{};
+    instant stop_confirmed{}; ///< from then on the target bars this run
+    std::string saved;
+    int percent = 0;
+    instant progressed{};
+};
+
+/// A run that a target lists and nobody here wants: it is stopped, and holds its need until it is gone.
+struct stray_run {
+    task_name task;
+    int number = 0;
+    resources held;
+    instant next_stop{};
+};
+
+/// What the owner knows of one target.
+struct target_state {
+    target_entry entry;
+    bool listed = true;    ///< its entry is in the list
+    bool claimed = false;  ///< it answered under this owner's epoch, so its lists are known
+    bool suspect = false;  ///< the last poll got no answer
+    resources held;
+    std::map<std::string, live_run> runs; ///< by the task's text
+    std::vector<stray_run> strays;
+    std::int64_t clock_ms = 0; ///< the target's own clock ...
+    instant clock_read{};      ///< ... when it was read; unset before the first answer
+    std::int64_t granted_ms = 0; ///< the latest deadline sent, on the target's clock
+    std::int64_t acked_upto = 0; ///< ends the target may forget
+    std::int64_t seen_upto = 0;  ///< ends that were taken in
+    bool poll_out = false;
+    instant next_poll{};
+    instant last_answer{};
+    int refused_polls = 0;
+    int failures_in_row = 0; ///< ends `failed` since the last one that was done
+    std::string last_failed_job;
+    instant avoid_until{};
+
+    [[nodiscard]] resources free() const;
+    [[nodiscard]] std::int64_t clock_at(instant at) const;
+    /// By this node's clock, when everything under the latest lease has surely ended there.
+    [[nodiscard]] instant lapse() const;
+};
+
+/// Whether `need` fits into `free`; unlike a plain comparison nothing has to be free for a need of 0.
+bool has_room(const resources& need, const resources& free);
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/waiting_order.cpp
@@ -0,0 +1,44 @@
+#include "jobs/waiting_order.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace medlarhub {
+
+namespace {
+
+/// Seconds of a team's rate that it can save up.
+constexpr double burst_s = 2;
+
+int lateness(instant at, const waiting_step& step) {
+    if (at <= step.due)
+        return 0;
+    return at <= step.hopeless ? 1 : 2;
+}
+
+} // namespace
+
+bool goes_before(instant at, const waiting_step& left, const waiting_step& right) {
+    return std::tuple{left.beyond_rate, lateness(at, left) == 2, left.priority, lateness(at, left), left.due} <
+           std::tuple{right.beyond_rate, lateness(at, right) == 2, right.priority, lateness(at, right),
+                      right.due};
+}
+
+bool rate_allowance::take(instant at, double per_second) {
+    if (per_second <= 0)
+        return true;
+    if (!m_used) {
+        m_used = true;
+        m_saved = per_second * burst_s;
+        m_last = at;
+    }
+    const auto passed = std::chrono::duration<double>(at - m_last).count();
+    m_saved = std::min(per_second * burst_s, m_saved + passed * per_second);
+    m_last = at;
+    if (m_saved < 1)
+        return false;
+    m_saved -= 1;
+    return true;
+}
+
+} // namespace medlarhub
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include "node/node.h"
 #include "operators/commands.h"
 #include "operators/operator_api.h"
+#include "platform/run.h"
 
 #include "medlarhub/reason.h"
 #include "medlarhub/settings.h"
@@ -85,6 +86,9 @@
     serve_command->add_option("--config", file, "the node's settings, an INI file")->required();
     serve_command->callback([&] { code = serve(file); });
 
+    app.add_subcommand("platform", "Run one node on the users' platform, with the settings that it gives")
+        ->callback([&] { code = platform::run(); });
+
     auto* version_command = app.add_subcommand("version", "Print the version");
     std::string output = "text";
     version_command->add_option("--output", output, "text or json")->check(CLI::IsMember({"text", "json"}));
--- a/src/node/escrow_sync.cpp
+++ b/src/node/escrow_sync.cpp
@@ -92,7 +92,7 @@
             write.condition = write_condition::version;
             write.version = rows->front().version;
         }
-        const auto outcome = m_rows.transact({write});
+        const auto outcome = m_rows.transact({write}).outcome;
         m_counters.count("table_writes_total", {{"kind", "allotment"}});
         if (outcome == write_outcome::unavailable)
             m_gate.failed(at);
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -131,7 +131,8 @@
     for (const auto& entry : records)
         *group.add_records() = entry;
     const auto key = row_key(m_next);
-    auto outcome = m_rows.transact({{key, group.SerializeAsString(), write_condition::absent, 0, false}});
+    auto outcome =
+        m_rows.transact({{key, group.SerializeAsString(), write_condition::absent, 0, false}}).outcome;
     if (outcome == write_outcome::conflict) {
         const auto row = m_rows.read(key);
         if (!row || row->empty()) {
@@ -169,7 +170,7 @@
         std::vector<table_write> removes;
         for (; from <= to && removes.size() < removes_per_write; ++from)
             removes.push_back({row_key(from), {}, write_condition::none, 0, true});
-        if (m_rows.transact(removes) != write_outcome::committed)
+        if (m_rows.transact(removes).outcome != write_outcome::committed)
             return;
         m_removed = from - 1;
     }
@@ -181,7 +182,7 @@
         return false;
     const auto condition = m_pointer_version == 0 ? write_condition::absent : write_condition::version;
     const auto outcome =
-        m_rows.transact({{pointer_key(), std::to_string(sequence), condition, m_pointer_version, false}});
+        m_rows.transact({{pointer_key(), std::to_string(sequence), condition, m_pointer_version, false}}).outcome;
     if (outcome != write_outcome::committed) {
         // The write may have taken effect: find out where the pointer is before the next one.
         const auto pointer = m_rows.read(pointer_key());
--- /dev/null
+++ b/src/peers/cell_peers.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "peers/delivery.h"
+
+#include "medlarhub/time.h"
+
+#include "jobs.pb.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace medlarhub {
+
+/// What a cell node answers to its peers. Called from the server's threads; each answers once.
+class cell_handler {
+public:
+    cell_handler() = default;
+    cell_handler(const cell_handler&) = delete;
+    cell_handler& operator=(const cell_handler&) = delete;
+    virtual ~cell_handler() = default;
+
+    virtual pb::gossip on_exchange(const pb::gossip& message) = 0;
+    virtual void on_job(const pb::job_call& call, std::function<void(pb::job_answer)> done) = 0;
+    virtual void on_advise(const pb::advice_call& call, std::function<void(pb::advice_answer)> done) = 0;
+    virtual pb::take_reply on_take(const pb::take_request& request) = 0;
+};
+
+/// Calls to other cell nodes and the server for theirs, over gRPC.
+class cell_peers {
+public:
+    explicit cell_peers(cell_handler& handler);
+    ~cell_peers();
+    cell_peers(const cell_peers&) = delete;
+    cell_peers& operator=(const cell_peers&) = delete;
+
+    /// Empty, with the reason, when the address can't be had.
+    [[nodiscard]] std::optional<std::string> start(const std::string& address);
+    void stop();
+
+    void exchange(const std::string& address, const pb::gossip& message, milliseconds timeout,
+                  peer_callback<pb::gossip> done);
+    void job(const std::string& address, const pb::job_call& call, milliseconds timeout,
+             peer_callback<pb::job_answer> done);
+    void advise(const std::string& address, const pb::advice_call& call, milliseconds timeout,
+                peer_callback<pb::advice_answer> done);
+    void take(const std::string& address, const pb::take_request& request, milliseconds timeout,
+              peer_callback<pb::take_reply> done);
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/peers/peer_calls.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "peers/delivery.h"
+
+#include "medlarhub/time.h"
+
+#include <functional>
+#include <grpcpp/grpcpp.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace medlarhub {
+
+/// A call that no connection could be made for was not sent; any other failure may have come after.
+inline peer_delivery delivery_of(const grpc::Status& status) {
+    if (status.ok())
+        return peer_delivery::answered;
+    const bool refused = status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+                         status.error_message().find("failed to connect") != std::string::npos;
+    return refused ? peer_delivery::not_sent : peer_delivery::lost;
+}
+
+/// Calls to the gRPC service `Service` of other nodes, with one channel for each address.
+template <typename Service> class peer_calls {
+public:
+    using async_stub = typename Service::Stub::async;
+
+    template <typename Request, typename Reply>
+    using method = void (async_stub::*)(grpc::ClientContext*, const Request*, Reply*,
+                                        std::function<void(grpc::Status)>);
+
+    template <typename Request, typename Reply>
+    void call(const std::string& address, const Request& request, milliseconds timeout,
+              peer_callback<Reply> done, method<Request, Reply> to_call) {
+        const auto pending = std::make_shared<pending_call<Request, Reply>>();
+        pending->request = request;
+        pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        const auto to = stub(address);
+        auto* async = to->async();
+        (async->*to_call)(&pending->context, &pending->request, &pending->reply,
+                          [pending, to, done = std::move(done)](const grpc::Status& status) {
+                              done(delivery_of(status), std::move(pending->reply));
+                          });
+    }
+
+private:
+    template <typename Request, typename Reply> struct pending_call {
+        grpc::ClientContext context;
+        Request request;
+        Reply reply;
+    };
+
+    std::shared_ptr<typename Service::Stub> stub(const std::string& address) {
+        constexpr int first_reconnect_ms = 100;
+        constexpr int max_reconnect_ms = 1000;
+        constexpr int keepalive_ms = 2000;
+        constexpr int keepalive_timeout_ms = 1000;
+        const std::lock_guard lock{m_mutex};
+        auto& known = m_stubs[address];
+        if (!known) {
+            grpc::ChannelArguments arguments;
+            arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, first_reconnect_ms);
+            arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, first_reconnect_ms);
+            arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_reconnect_ms);
+            arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
+            arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
+            arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+            known = Service::NewStub(
+                grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+        }
+        return known;
+    }
+
+    std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<typename Service::Stub>> m_stubs;
+};
+
+/// A callback that fills the reply and finishes the call; the library keeps both until then.
+template <typename Reply>
+std::function<void(Reply)> finish_later(grpc::ServerUnaryReactor* reactor, Reply* to) {
+    return [reactor, to](Reply reply) {
+        *to = std::move(reply);
+        reactor->Finish(grpc::Status::OK);
+    };
+}
+
+} // namespace medlarhub
--- a/src/peers/peer_client.h
+++ b/src/peers/peer_client.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peers/delivery.h"
+
 #include "medlarhub/time.h"
 
 #include "medlarhub.pb.h"
@@ -11,11 +13,6 @@
 
 namespace medlarhub {
 
-/// Whether an answer from a peer came, and if not, whether the call can have reached it.
-enum class peer_delivery { answered, not_sent, lost };
-
-template <typename Reply> using peer_callback = std::function<void(peer_delivery, Reply)>;
-
 /// Calls to other nodes, by their peer address. Each answers once through its callback.
 class peer_client {
 public:
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -1,10 +1,11 @@
 #include "peers/peer_server.h"
 
+#include "peers/peer_calls.h"
+
 #include "medlarhub/reason.h"
 
 #include "medlarhub.grpc.pb.h"
 
-#include <grpcpp/grpcpp.h>
 
 namespace medlarhub {
 
@@ -21,14 +22,6 @@
     return reactor;
 }
 
-/// A callback that fills the reply and finishes the call; the library keeps both until then.
-template <typename Reply> std::function<void(Reply)> finish_later(ServerUnaryReactor* reactor, Reply* to) {
-    return [reactor, to](Reply reply) {
-        *to = std::move(reply);
-        reactor->Finish(grpc::Status::OK);
-    };
-}
-
 } // namespace
 
 class peer_server::impl final : public pb::peer::CallbackService {
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -42,12 +42,18 @@
     return rows;
 }
 
+/// The version that a commit gave its rows; 0 when the answer doesn't tell.
+std::int64_t json_version(const std::string& text) {
+    const auto body = json::parse(text, nullptr, false);
+    return body.is_object() ? body.value("version", std::int64_t{0}) : 0;
+}
+
 class http_table final : public table {
 public:
     http_table(http_client& client, std::string url, milliseconds timeout)
         : m_client{client}, m_url{std::move(url)}, m_timeout{timeout} {}
 
-    write_outcome transact(const std::vector<table_write>& writes) override {
+    write_result transact(const std::vector<table_write>& writes) override {
         json items = json::array();
         for (const auto& write : writes)
             items.push_back(to_json(write));
@@ -59,11 +65,11 @@
                                                   .timeout = m_timeout});
         constexpr int conflict_status = 409;
         if (result.ok())
-            return write_outcome::committed;
+            return {write_outcome::committed, json_version(result.body)};
         if (result.delivery == http_delivery::answered && result.status == conflict_status)
-            return write_outcome::conflict;
+            return {write_outcome::conflict};
         set_reason("the table gave no answer: " + result.reason + " " + std::to_string(result.status));
-        return write_outcome::unavailable;
+        return {write_outcome::unavailable};
     }
 
     std::optional<std::vector<table_row>> read(const std::string& key) override {
--- a/test/standin/memory_platform.cpp
+++ b/test/standin/memory_platform.cpp
@@ -4,33 +4,34 @@
 
 namespace medlarhub::standin {
 
-write_outcome memory_table::transact(const std::vector<table_write>& writes) {
+write_result memory_table::transact(const std::vector<table_write>& writes) {
     const std::lock_guard lock{m_mutex};
     ++m_writes;
     if (m_mode == platform_mode::down) {
         set_reason("the table is down");
-        return write_outcome::unavailable;
+        return {write_outcome::unavailable};
     }
     for (const auto& write : writes) {
         const auto found = m_rows.find(write.key);
         const bool present = found != m_rows.end();
         if (write.condition == write_condition::absent && present)
-            return write_outcome::conflict;
+            return {write_outcome::conflict};
         if (write.condition == write_condition::version &&
             (!present || found->second.version != write.version))
-            return write_outcome::conflict;
+            return {write_outcome::conflict};
     }
+    ++m_version;
     for (const auto& write : writes) {
         if (write.remove)
             m_rows.erase(write.key);
         else
-            m_rows[write.key] = {write.key, write.value, ++m_version};
+            m_rows[write.key] = {write.key, write.value, m_version};
     }
     if (m_mode == platform_mode::lose_answer) {
         set_reason("the answer was lost");
-        return write_outcome::unavailable;
+        return {write_outcome::unavailable};
     }
-    return write_outcome::committed;
+    return {write_outcome::committed, m_version};
 }
 
 std::optional<std::vector<table_row>> memory_table::read(const std::string& key) {
--- a/test/standin/memory_platform.h
+++ b/test/standin/memory_platform.h
@@ -20,7 +20,7 @@
 /// The table and the object store in memory, for tests and for the stand-in process.
 class memory_table final : public table {
 public:
-    write_outcome transact(const std::vector<table_write>& writes) override;
+    write_result transact(const std::vector<table_write>& writes) override;
     std::optional<std::vector<table_row>> read(const std::string& key) override;
     std::optional<std::vector<table_row>> list(const std::string& prefix, const std::string& after,
                                                int limit) override;
--- a/test/standin/standin_main.cpp
+++ b/test/standin/standin_main.cpp
@@ -167,9 +167,10 @@
             }
             writes.push_back(std::move(write));
         }
-        switch (m_table.transact(writes)) {
+        const auto result = m_table.transact(writes);
+        switch (result.outcome) {
         case write_outcome::committed:
-            return ok(json::object());
+            return ok({{"version", result.version}});
         case write_outcome::conflict:
             return problem(409, "conflict", "a condition doesn't hold");
         case write_outcome::unavailable:
