Ask for advice in order of turn, one question ahead of each node

Ruled out: the owner's processor (0.13 of a core). Change: advice_lanes gives a node its next question when the last is nearly answered; steps ask only for room that no earlier step counts on; ownership reads the table on a thread of its own, not the ticking one.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -1,6 +1,5 @@
 #include "cell/cell_node.h"
 
-#include "cell/advice_router.h"
 #include "cell/partition_rows.h"
 #include "log.h"
 #include "peers/cell_peers.h"
@@ -75,6 +74,7 @@
         loop([this] { follow_declarations(); });
         loop([this] { join_cell(); });
         loop([this] { tick_loop(); });
+        loop([this] { ownership_loop(); });
         loop([this] { follow_targets(); });
         return m_options.peer_address;
     }
@@ -469,7 +469,6 @@
 
     void tick_loop() {
         instant next_gossip{};
-        instant next_ownership{};
         while (pause(tick_period)) {
             const auto at = now();
             for (const auto& [number, owned] : partitions())
@@ -479,10 +478,14 @@
                 next_gossip = at + gossip_period;
                 gossip_round();
             }
-            if (at >= next_ownership && !m_leaving) {
-                next_ownership = at + ownership_period;
-                ownership_round(at);
-            }
+        }
+    }
+
+    /// On a thread of its own, since it reads the table.
+    void ownership_loop() {
+        while (pause(ownership_period)) {
+            if (!m_leaving)
+                ownership_round(now());
         }
     }
 
@@ -502,6 +505,7 @@
     void ownership_round(instant at) {
         drop_closed();
         publish_owned();
+        set_advisers();
         std::vector<int> wanted;
         {
             const std::lock_guard lock{m_mutex};
@@ -616,6 +620,16 @@
         }
     }
 
+    void set_advisers() {
+        std::vector<std::string> live;
+        {
+            const std::lock_guard lock{m_mutex};
+            live = m_members.live();
+        }
+        for (const auto& [number, owned] : partitions())
+            owned->set_advisers(live);
+    }
+
     void tell_heir(int number) {
         std::string address;
         {
@@ -634,17 +648,14 @@
     // ---- Advice ----
 
     void ask(const advice_question& question, std::function<void(std::optional<advice_reply>)> done) {
-        const auto at = now();
-        std::string node;
         std::string address;
         {
             const std::lock_guard lock{m_mutex};
-            node = m_advice.choose(at, m_members.live(), question.cost);
-            if (const auto member = m_members.find(node))
+            if (const auto member = m_members.find(question.node))
                 address = member->peer_address();
         }
         const auto timeout = question.cost * 2 + advice_slack;
-        if (node.empty() || node == m_options.node) {
+        if (address.empty() || question.node == m_options.node) {
             m_ports.advice->ask(question.step, question.targets, timeout, std::move(done));
             return;
         }
@@ -654,15 +665,9 @@
             call.add_targets(target);
         call.set_timeout_ms(timeout.count());
         m_peers.advise(address, call, timeout,
-                       [self = shared_from_this(), node, done = std::move(done)](
-                           peer_delivery delivery, const pb::advice_answer& answer) {
-                           if (delivery != peer_delivery::answered || !answer.answered()) {
-                               {
-                                   const std::lock_guard lock{self->m_mutex};
-                                   self->m_advice.failed(now(), node);
-                               }
+                       [done = std::move(done)](peer_delivery delivery, const pb::advice_answer& answer) {
+                           if (delivery != peer_delivery::answered || !answer.answered())
                                return done(std::nullopt);
-                           }
                            advice_reply reply;
                            reply.valid = milliseconds{answer.valid_ms()};
                            for (const auto& each : answer.good())
@@ -687,7 +692,6 @@
     declarations m_declared;
     std::vector<target_entry> m_targets;
     bool m_targets_known = false;
-    advice_router m_advice;
     std::multimap<instant, std::shared_ptr<routed_call>> m_delayed;
 
     std::atomic<instant> m_table_heard{instant{}};
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -98,6 +98,13 @@
         });
     }
 
+    void set_advisers(const std::vector<std::string>& nodes) {
+        const std::lock_guard lock{m_mutex};
+        m_advisers = nodes;
+        if (m_engine)
+            m_engine->set_advisers(nodes);
+    }
+
     void call(const pb::job_call& call, job_callback done) {
         locked([&](instant at) {
             if (m_status != partition_status::active)
@@ -258,7 +265,7 @@
                 if (reply)
                     self->m_engine->advised(at, question, reply->good, reply->valid);
                 else
-                    self->m_engine->advice_failed(at, question.step);
+                    self->m_engine->advice_failed(at, question);
             });
         });
     }
@@ -366,6 +373,7 @@
             if (m_declared.config)
                 m_engine->set_config(m_declared.config);
             m_engine->set_drained(m_declared.drained_data_centres);
+            m_engine->set_advisers(m_advisers);
             m_engine->restore(content->specs, content->progress);
             m_engine->restore_roster(at, content->roster);
             if (m_targets_known)
@@ -472,6 +480,7 @@
     declarations m_declared;
     std::vector<target_entry> m_targets;
     bool m_targets_known = false;
+    std::vector<std::string> m_advisers;
     std::vector<waiter> m_waiters;
     std::vector<std::function<void()>> m_answers;
     stall_guard m_guard;
@@ -503,6 +512,9 @@
 void owned_partition::set_targets(const std::vector<target_entry>& targets) {
     m_impl->set_targets(targets);
 }
+void owned_partition::set_advisers(const std::vector<std::string>& nodes) {
+    m_impl->set_advisers(nodes);
+}
 void owned_partition::call(const pb::job_call& call, job_callback done) {
     m_impl->call(call, std::move(done));
 }
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -53,6 +53,8 @@
 
     void set_declarations(const declarations& declared);
     void set_targets(const std::vector<target_entry>& targets);
+    /// The nodes through which the advice service may be asked.
+    void set_advisers(const std::vector<std::string>& nodes);
     void call(const pb::job_call& call, job_callback done);
     void tick();
 
--- a/src/jobs/advice_book.h
+++ b/src/jobs/advice_book.h
@@ -13,6 +13,7 @@
 struct advice_question {
     std::string step;
     std::vector<std::string> targets;
+    std::string node;     ///< through which to ask
     milliseconds cost{0}; ///< how long the service works on it
 };
 
--- /dev/null
+++ b/src/jobs/advice_lanes.cpp
@@ -0,0 +1,43 @@
+#include "jobs/advice_lanes.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+constexpr milliseconds long_question{200};
+/// How far ahead of its last answer a node may get its next question.
+constexpr milliseconds ahead{40};
+constexpr milliseconds failure_pause{1000};
+
+} // namespace
+
+void advice_lanes::set_nodes(std::vector<std::string> nodes) {
+    std::ranges::sort(nodes);
+    m_nodes = std::move(nodes);
+    std::erase_if(m_free_at,
+                  [&](const auto& entry) { return !std::ranges::binary_search(m_nodes, entry.first); });
+}
+
+std::optional<std::string> advice_lanes::take(instant at, milliseconds cost) {
+    if (m_nodes.empty())
+        return {};
+    const auto for_long = static_cast<std::ptrdiff_t>(m_nodes.size() / 2);
+    const bool is_long = cost >= long_question && for_long > 0;
+    const auto first = is_long ? m_nodes.begin() : m_nodes.begin() + for_long;
+    const auto last = is_long ? m_nodes.begin() + for_long : m_nodes.end();
+    const auto free_at = [&](const std::string& node) { return std::max(at, m_free_at[node]); };
+    const auto chosen = *std::min_element(
+        first, last, [&](const auto& left, const auto& right) { return free_at(left) < free_at(right); });
+    if (free_at(chosen) > at + ahead)
+        return {};
+    m_free_at[chosen] = free_at(chosen) + cost;
+    return chosen;
+}
+
+void advice_lanes::failed(instant at, const std::string& node) {
+    m_free_at[node] = std::max(at, m_free_at[node]) + failure_pause;
+}
+
+} // namespace medlarhub
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/advice_book.h"
+#include "jobs/advice_lanes.h"
 #include "jobs/cell_config.h"
 #include "jobs/target_table.h"
 #include "jobs/task_name.h"
@@ -162,7 +163,9 @@
     [[nodiscard]] std::vector<advice_question> take_questions();
     void advised(instant at, const advice_question& question, const std::vector<advice_ticket>& good,
                  milliseconds valid);
-    void advice_failed(instant at, const std::string& step);
+    void advice_failed(instant at, const advice_question& question);
+    /// The nodes through which questions may be asked.
+    void set_advisers(std::vector<std::string> nodes);
 
     void tick(instant at);
     /// True once a target refused this owner's epoch.
@@ -275,6 +278,7 @@
     void place(instant at, const ready_step& ready, int index, target_state& target, int number,
                const std::string& saved);
     void ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates);
+    [[nodiscard]] std::int64_t free_cpu_milli(instant at) const;
     [[nodiscard]] std::vector<target_state*> candidates(instant at, const ready_step& ready);
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
@@ -295,6 +299,8 @@
     std::deque<std::string> m_ended; ///< by time of their end
 
     std::vector<advice_question> m_questions;
+    advice_lanes m_lanes;
+    std::int64_t m_unasked_cpu_milli = 0; ///< room that no step before in the pass counts on
     std::map<std::string, task_name> m_asked_steps;
     std::vector<engine_event> m_events;
     struct placed_order {
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -83,6 +83,7 @@
     });
     std::set<std::string> reserved;
     int reserving = 0;
+    m_unasked_cpu_milli = free_cpu_milli(at);
     for (const auto& ready : waiting) {
         const auto before = reserved.size();
         schedule_step(at, ready, reserved);
@@ -273,8 +274,25 @@
     target.runs[text] = std::move(run);
 }
 
+std::int64_t job_engine::free_cpu_milli(instant at) const {
+    std::int64_t free = 0;
+    for (const auto& [id, target] : m_targets) {
+        if (usable(at, target))
+            free += std::max<std::int64_t>(target.free().cpu_milli, 0);
+    }
+    return free;
+}
+
 void job_engine::ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates) {
     auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    const auto queued = std::ranges::count_if(
+        step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
+    const auto& spec = ready.job->spec.steps(ready.step);
+    // Room that earlier steps are about to use is not asked for twice.
+    const bool room_left = m_unasked_cpu_milli > 0;
+    m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
+    if (!room_left)
+        return;
     if (!step.advice.due(at)) {
         m_changed = m_changed || !step.advice.asked();
         return;
@@ -294,7 +312,7 @@
     if (unknown.size() > asked_at_a_time)
         unknown.resize(asked_at_a_time);
     useful.insert(useful.end(), unknown.begin(), unknown.end());
-    if (ready.job->spec.steps(ready.step).gang() && !place_gang(at, ready, useful, true))
+    if (spec.gang() && !place_gang(at, ready, useful, true))
         return;
     advice_question question;
     question.step = task_name{ready.job->spec.id(), ready.occurrence, ready.step, 0}.step_string();
@@ -305,7 +323,11 @@
     if (question.targets.empty())
         return;
     const auto cost = policy.decide + policy.per_target * static_cast<double>(question.targets.size());
-    question.cost = std::chrono::duration_cast<milliseconds>(cost);
+    question.cost = std::chrono::ceil<milliseconds>(cost);
+    const auto node = m_lanes.take(at, question.cost);
+    if (!node)
+        return;
+    question.node = *node;
     step.advice.ask();
     m_asked_steps[question.step] = {ready.job->spec.id(), ready.occurrence, ready.step, 0};
     m_questions.push_back(std::move(question));
@@ -329,8 +351,13 @@
     schedule(at);
 }
 
-void job_engine::advice_failed(instant at, const std::string& text) {
-    const auto asked = m_asked_steps.find(text);
+void job_engine::set_advisers(std::vector<std::string> nodes) {
+    m_lanes.set_nodes(std::move(nodes));
+}
+
+void job_engine::advice_failed(instant at, const advice_question& question) {
+    m_lanes.failed(at, question.node);
+    const auto asked = m_asked_steps.find(question.step);
     if (asked == m_asked_steps.end())
         return;
     auto* step = find_step(asked->second, nullptr);
