Let a node that hears from the table take over from an owner that doesn't

After a takeover one target that wasn't reached held all earlier jobs back for 13 s (log runs_known). Change: an owner without answers asks a node that heard from the table lately to take the partition, and goes on until a later epoch is known; it commands targets for 2.5 s at most without a confirmation, and the doubt after a takeover follows from that and the lease (7.1 s). A job that was never handed out for writing is taken back and refused at once when the table is out; a call that reached no owner is given up after 1.2 s. Ruled out: electing by the store's clock; waiting for the outage to end.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -37,6 +37,10 @@
 constexpr milliseconds reroute_wait{40};
 constexpr milliseconds forward_grace{100};
 constexpr milliseconds usual_retry{500};
+/// A call that no owner could be given is held this long, about as long as a takeover takes.
+constexpr milliseconds longest_search{1200};
+/// A node whose table doesn't answer asks others this often to take its partitions.
+constexpr milliseconds heir_retry{500};
 constexpr milliseconds advice_slack{1500};
 constexpr milliseconds release_wait{1500};
 constexpr milliseconds take_timeout{500};
@@ -125,12 +129,14 @@
         pb::job_call call;
         job_callback done;
         instant deadline{};
+        instant search_until{}; ///< while it has surely reached no owner
         bool maybe_recorded = false;
     };
 
     void call(pb::job_call call, job_callback done) {
         const auto routed = std::make_shared<routed_call>();
         routed->deadline = now() + milliseconds{call.timeout_ms()};
+        routed->search_until = std::min(routed->deadline, now() + longest_search);
         const auto& key = call.what() == pb::job_call::count_pending ? call.queue() : call.id();
         call.set_partition(home_partition_of(key, m_options.partitions));
         routed->call = std::move(call);
@@ -176,7 +182,8 @@
 
     /// The calls are idempotent by the job's id, so that one whose answer was lost is sent again.
     void later(const std::shared_ptr<routed_call>& routed) {
-        if (now() + reroute_wait >= routed->deadline)
+        const auto until = routed->maybe_recorded ? routed->deadline : routed->search_until;
+        if (now() + reroute_wait >= until)
             return give_up(routed);
         const std::lock_guard lock{m_mutex};
         m_delayed.emplace(now() + reroute_wait, routed);
@@ -504,7 +511,9 @@
 
     void ownership_round(instant at) {
         drop_closed();
-        publish_owned();
+        if (publish_owned())
+            tell_all();
+        seek_heirs(at);
         set_advisers();
         std::vector<int> wanted;
         {
@@ -564,7 +573,6 @@
         options.owner = self_owner();
         options.peer_address = m_options.peer_address;
         options.lease = m_options.lease;
-        options.longest_lease = m_options.longest_lease;
         partition_environment environment;
         environment.rows = m_ports.rows.get();
         environment.orders = m_ports.orders.get();
@@ -606,17 +614,72 @@
             owned->join();
     }
 
-    void publish_owned() {
+    /// True when another partition has become active here.
+    bool publish_owned() {
         std::map<int, std::uint64_t> active;
         for (const auto& [number, owned] : partitions()) {
             if (owned->status() == partition_status::active)
                 active[number] = owned->epoch();
         }
-        const std::lock_guard lock{m_mutex};
-        m_owned_names.clear();
-        for (const auto& [number, epoch] : active) {
-            learn_owner(number, {self_owner(), m_options.peer_address, epoch});
-            m_owned_names.insert(self_owner());
+        bool news = false;
+        std::vector<std::shared_ptr<owned_partition>> deposed;
+        {
+            const std::lock_guard lock{m_mutex};
+            m_owned_names.clear();
+            for (const auto& [number, epoch] : active) {
+                news = news || m_owners[number].epoch < epoch;
+                if (m_owners[number].epoch > epoch)
+                    deposed.push_back(m_owned.at(number));
+                learn_owner(number, {self_owner(), m_options.peer_address, epoch});
+                m_owned_names.insert(self_owner());
+            }
+        }
+        for (const auto& owned : deposed)
+            owned->depose("a later owner is known");
+        return news;
+    }
+
+    /// Tells every live node at once who owns what; only on a takeover, which is rare.
+    void tell_all() {
+        std::vector<std::string> addresses;
+        {
+            const std::lock_guard lock{m_mutex};
+            for (const auto& node : m_members.live()) {
+                if (node != m_options.node)
+                    addresses.push_back(m_members.find(node)->peer_address());
+            }
+        }
+        for (const auto& address : addresses)
+            greet(address);
+    }
+
+    /// Asks nodes that hear from the table to take partitions whose owner, this node, doesn't.
+    void seek_heirs(instant at) {
+        for (const auto& [number, owned] : partitions()) {
+            if (!owned->troubled() || at < m_next_heir)
+                continue;
+            m_next_heir = at + heir_retry;
+            std::string heir;
+            std::string address;
+            {
+                const std::lock_guard lock{m_mutex};
+                instant latest = std::max(m_table_heard.load(), at - table_heard);
+                for (const auto& node : m_members.live()) {
+                    const auto heard = m_peer_table_heard.find(node);
+                    if (node == m_options.node || heard == m_peer_table_heard.end() || heard->second <= latest)
+                        continue;
+                    latest = heard->second;
+                    heir = node;
+                    address = m_members.find(node)->peer_address();
+                }
+            }
+            if (heir.empty())
+                continue;
+            log_event(log_level::info, "heir_asked",
+                      {{"partition", std::to_string(number)}, {"heir", heir}});
+            pb::take_request request;
+            request.set_partition(number);
+            m_peers.take(address, request, take_timeout, [](peer_delivery, const pb::take_reply&) {});
         }
     }
 
@@ -694,6 +757,7 @@
     bool m_targets_known = false;
     std::multimap<instant, std::shared_ptr<routed_call>> m_delayed;
 
+    instant m_next_heir{}; ///< used by the ownership thread only
     std::atomic<instant> m_table_heard{instant{}};
     std::atomic<bool> m_joined{false};
     std::atomic<bool> m_leaving{false};
--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -20,7 +20,6 @@
     std::vector<std::string> seeds;  ///< peer addresses of some other nodes; they may be stale
     int partitions = 1;
     milliseconds lease{4500};
-    milliseconds longest_lease{6000};
 };
 
 /// One node of a cell: it takes callers' jobs, finds the owner of each, and owns partitions when they are due
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -26,7 +26,9 @@
 /// The owner confirms that it is the owner at least this often.
 constexpr milliseconds confirm_period{1500};
 /// Without a confirmation for this long nothing goes to targets, unless the table is out for all.
-constexpr milliseconds confirm_bound{7000};
+constexpr milliseconds confirm_bound{2500};
+/// A write without an answer for this long counts as failing.
+constexpr milliseconds slow_write{700};
 constexpr milliseconds stall_tolerated{700};
 constexpr milliseconds order_timeout{1000};
 constexpr milliseconds poll_grace{1000};
@@ -147,6 +149,20 @@
         return m_status;
     }
 
+    bool troubled() const {
+        const auto at = now();
+        const std::lock_guard lock{m_mutex};
+        if (m_status != partition_status::active)
+            return false;
+        const bool waits = m_write_sent != instant{} && at - m_write_sent > slow_write;
+        return waits || m_failing_since != instant{};
+    }
+
+    void depose(std::string_view reason) {
+        if (status() == partition_status::active)
+            close(std::string{reason});
+    }
+
     std::uint64_t epoch() const {
         const std::lock_guard lock{m_mutex};
         return m_epoch;
@@ -309,6 +325,11 @@
 
     void answer_late(instant at) {
         std::erase_if(m_waiters, [&](const waiter& waiting) {
+            if (table_out(at) && m_engine->withdraw(waiting.job)) {
+                answer(waiting.done,
+                       make_job_answer(pb::job_answer::not_run, "the table is out", outage_retry));
+                return true;
+            }
             if (at < waiting.deadline)
                 return false;
             answer(waiting.done,
@@ -366,7 +387,7 @@
         engine_options options;
         options.epoch = *epoch;
         options.lease = m_options.lease;
-        const auto lapse = static_cast<double>(m_options.longest_lease.count()) * lease_drift;
+        const auto lapse = static_cast<double>(m_options.lease.count()) * lease_drift;
         options.unknown_runs = confirm_bound + milliseconds{static_cast<std::int64_t>(lapse)};
         locked([&](instant at) {
             m_engine = std::make_unique<job_engine>(options);
@@ -399,7 +420,9 @@
         }
         for (;;) {
             const auto sent = boot_time();
+            set_write_sent(now());
             const auto outcome = m_rows.write(rows);
+            set_write_sent({});
             m_environment.counters->count("table_writes_total");
             if (outcome == row_outcome::deposed)
                 return close("another node owns the partition");
@@ -416,17 +439,26 @@
             }
             {
                 const std::lock_guard lock{m_mutex};
-                if (m_stopping)
+                if (m_stopping || m_status == partition_status::closed)
                     return;
-                if (m_failing_since == instant{}) {
-                    m_failing_since = now();
-                    log_event(log_level::warning, "table_lost", {{"reason", last_reason()}});
-                }
+                failing(now());
             }
             std::this_thread::sleep_for(write_retry);
         }
     }
 
+    void set_write_sent(instant at) {
+        const std::lock_guard lock{m_mutex};
+        m_write_sent = at;
+    }
+
+    void failing(instant at) {
+        if (m_failing_since != instant{})
+            return;
+        m_failing_since = at;
+        log_event(log_level::warning, "table_lost", {{"reason", last_reason()}});
+    }
+
     void confirmed(milliseconds sent) {
         m_confirmed = std::max(m_confirmed, sent);
         m_confirm_needed = false;
@@ -446,6 +478,10 @@
             });
             return;
         }
+        {
+            const std::lock_guard lock{m_mutex};
+            failing(now());
+        }
         std::this_thread::sleep_for(write_retry);
     }
 
@@ -456,6 +492,8 @@
 
     void close(const std::string& reason) {
         locked([&](instant) {
+            if (m_status == partition_status::closed)
+                return;
             m_status = partition_status::closed;
             for (const auto& waiting : m_waiters)
                 answer(waiting.done,
@@ -487,6 +525,7 @@
     milliseconds m_confirmed{0}; ///< boot time
     bool m_confirm_needed = false;
     instant m_failing_since{};
+    instant m_write_sent{}; ///< of a write that is under way
     std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
@@ -518,6 +557,12 @@
 void owned_partition::call(const pb::job_call& call, job_callback done) {
     m_impl->call(call, std::move(done));
 }
+void owned_partition::depose(std::string_view reason) {
+    m_impl->depose(reason);
+}
+bool owned_partition::troubled() const {
+    return m_impl->troubled();
+}
 void owned_partition::tick() {
     m_impl->tick();
 }
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -22,7 +22,6 @@
     std::string owner; ///< this node and its incarnation
     std::string peer_address;
     milliseconds lease{4500};
-    milliseconds longest_lease{6000}; ///< that a target grants
 };
 
 /// What an owned partition reaches.
@@ -58,7 +57,12 @@
     void call(const pb::job_call& call, job_callback done);
     void tick();
 
+    /// Closes it: another node owns the partition by now.
+    void depose(std::string_view reason);
+
     [[nodiscard]] partition_status status() const;
+    /// Whether the table gives this node no answer, so that another node would be the better owner.
+    [[nodiscard]] bool troubled() const;
     [[nodiscard]] std::uint64_t epoch() const;
 
 private:
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -173,6 +173,19 @@
     return accept_outcome::accepted;
 }
 
+bool job_engine::withdraw(const std::string& id) {
+    const auto* job = find(id);
+    if (job == nullptr || job->writing > 0 || job->durable > 0)
+        return false;
+    note("job_withdrawn", id, {});
+    m_open.erase(id);
+    m_timed.erase(id);
+    m_dirty.erase(id);
+    std::erase(m_ended, id);
+    m_jobs.erase(id);
+    return true;
+}
+
 bool job_engine::cancel(instant at, const std::string& id) {
     auto* job = find(id);
     if (job == nullptr)
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -139,6 +139,8 @@
 
     // Callers.
     accept_outcome accept(instant at, pb::job_spec spec);
+    /// Takes a job back that was never handed out for writing, so that it surely never runs; false otherwise.
+    bool withdraw(const std::string& job);
     /// False when there is no such job.
     bool cancel(instant at, const std::string& job);
     [[nodiscard]] bool known(const std::string& job) const;
