Bound a pass by fruitless steps, and believe an owner's writes over lost probes

Change: later steps use what the two gangs left; a pass ends after 40 steps without room, and passes keep 20 ms apart when crowded; forwarded calls are sent again after 0.8 s; a partition is taken only when its head row stood still.

--- a/include/medlarhub/membership.h
+++ b/include/medlarhub/membership.h
@@ -45,6 +45,8 @@
     [[nodiscard]] std::vector<std::string> live() const;
     [[nodiscard]] std::optional<pb::member> find(const std::string& id) const;
     [[nodiscard]] bool alive(const std::string& id) const;
+    /// Alive, but its last probe failed.
+    [[nodiscard]] bool suspected(const std::string& id) const;
     [[nodiscard]] std::vector<pb::member> all() const;
 
 private:
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -28,14 +28,17 @@
 constexpr std::size_t probes_a_round = 2;
 /// Before a node takes a partition that it knows nothing of, it lets the others be heard.
 constexpr milliseconds settle_after_start{700};
-constexpr milliseconds take_retry{400};
+constexpr milliseconds take_retry{200};
 constexpr milliseconds declared_wait{1000};
 constexpr milliseconds source_retry{200};
 constexpr milliseconds targets_wait{2000};
 /// Between reads of changes of the targets' entries, which come many a second.
 constexpr milliseconds targets_pause{200};
 constexpr milliseconds reroute_wait{40};
-constexpr milliseconds forward_grace{100};
+/// A forwarded call without an answer for this long is sent again: the owner may be gone.
+constexpr milliseconds forward_timeout{800};
+/// An owner that is said to be dead has its partition taken only if its head row stood still this long.
+constexpr milliseconds head_still{350};
 constexpr milliseconds usual_retry{500};
 /// A call that no owner could be given is held this long, about as long as a takeover takes.
 constexpr milliseconds longest_search{1200};
@@ -162,7 +165,7 @@
             return later(routed);
         auto call = routed->call;
         call.set_timeout_ms(left.count());
-        m_peers.job(address, call, left + forward_grace,
+        m_peers.job(address, call, std::min(left, forward_timeout),
                     [self = shared_from_this(), routed](peer_delivery delivery, const pb::job_answer& answer) {
                         if (delivery == peer_delivery::answered)
                             return self->routed_answer(routed, answer);
@@ -525,7 +528,8 @@
                 if (m_owned.contains(number) || at < m_next_take[number])
                     continue;
                 const auto known = m_owners.find(number);
-                const bool owned = known != m_owners.end() && owner_lives(known->second.owner);
+                const bool owned = known != m_owners.end() && owner_lives(known->second.owner) &&
+                                   !m_members.suspected(node_of(known->second.owner));
                 if (owned || rendezvous(live, "partition/" + std::to_string(number)) != m_options.node)
                     continue;
                 if (known == m_owners.end() && at - m_started < settle_after_start)
@@ -563,6 +567,15 @@
             learn_owner(number, {head->owner(), head->peer_address(), head->epoch()});
             if (owner_lives(head->owner()))
                 return;
+            // Whoever writes lives, even if it was too busy to answer probes.
+            auto& seen = m_heads[number];
+            const auto at = now();
+            if (!head->owner().empty() && seen.sequence != head->sequence()) {
+                seen = {head->sequence(), at};
+                return;
+            }
+            if (!head->owner().empty() && at - seen.at < head_still)
+                return;
         }
         take(number);
     }
@@ -749,6 +762,11 @@
     membership m_members;
     std::map<int, owner_view> m_owners;
     std::map<int, instant> m_next_take;
+    struct head_view {
+        std::uint64_t sequence = 0;
+        instant at{};
+    };
+    std::map<int, head_view> m_heads; ///< of partitions whose owner may be dead
     std::map<std::string, instant> m_peer_table_heard;
     std::set<std::string> m_owned_names;
     owned_map m_owned;
--- a/src/jobs/advice_lanes.cpp
+++ b/src/jobs/advice_lanes.cpp
@@ -37,7 +37,7 @@
 }
 
 void advice_lanes::failed(instant at, const std::string& node) {
-    m_free_at[node] = std::max(at, m_free_at[node]) + failure_pause;
+    m_free_at[node] = at + failure_pause;
 }
 
 } // namespace medlarhub
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -272,7 +272,8 @@
 
     // engine_schedule.cpp: who runs where.
     void schedule(instant at);
-    void schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
+    enum class step_result { placed, no_room, over_cap };
+    step_result schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
     bool place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
                     bool only_try);
     /// Holds targets back from later steps until a gang that has no room yet finds some.
@@ -324,6 +325,8 @@
     std::vector<std::string> m_forget;
     instant m_next_forget{};
     instant m_next_pass{};
+    instant m_pass_after{}; ///< no pass before that
+    int m_reserving = 0;    ///< gangs that hold targets back in this pass
 
     bool m_stops = false;  ///< a stop may be due
     bool m_changed = true; ///< something that may let a step be placed
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t asked_at_a_time = 30;
 /// Gangs that may hold targets back for themselves at a time.
 constexpr int reserving_gangs = 2;
+/// A pass ends after this many steps that found no room; when more steps than that wait, passes keep apart.
+constexpr int fruitless_most = 40;
+constexpr milliseconds crowded_pass_spacing{20};
 
 std::int64_t fits_in(const resources& need, const resources& free) {
     auto fits = std::numeric_limits<std::int64_t>::max();
@@ -56,7 +59,7 @@
 }
 
 void job_engine::schedule(instant at) {
-    if (!m_changed)
+    if (!m_changed || at < m_pass_after)
         return;
     m_changed = false;
     std::vector<ready_step> waiting;
@@ -82,14 +85,14 @@
         return goes_before(at, *left.turn, *right.turn);
     });
     std::set<std::string> reserved;
-    int reserving = 0;
+    m_reserving = 0;
     m_unasked_cpu_milli = free_cpu_milli(at);
+    int fruitless = 0;
     for (const auto& ready : waiting) {
-        const auto before = reserved.size();
-        schedule_step(at, ready, reserved);
-        if (reserved.size() != before && ++reserving >= reserving_gangs)
+        if (schedule_step(at, ready, reserved) == step_result::no_room && ++fruitless >= fruitless_most)
             break;
     }
+    m_pass_after = waiting.size() > fruitless_most ? at + crowded_pass_spacing : at;
 }
 
 std::vector<target_state*> job_engine::candidates(instant at, const ready_step& ready) {
@@ -112,15 +115,16 @@
     return found;
 }
 
-void job_engine::schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved) {
+job_engine::step_result job_engine::schedule_step(instant at, const ready_step& ready,
+                                                   std::set<std::string>& reserved) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     if (!within_cap(ready.job->team, need))
-        return;
+        return step_result::over_cap;
     auto all = candidates(at, ready);
     const auto queue = m_config->queues.find(ready.job->queue);
     if (queue == m_config->queues.end())
-        return;
+        return step_result::over_cap;
     std::erase_if(all, [&](const target_state* target) { return reserved.contains(target->entry.id); });
     auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
     const bool advised = queue->second.advice.has_value();
@@ -133,11 +137,11 @@
     const bool durable = ready.job->durable > 0;
     if (spec.gang()) {
         if (durable && place_gang(at, ready, allowed, false))
-            return;
+            return step_result::placed;
         if (advised)
             ask_advice(at, ready, all);
         reserve(at, ready, advised, reserved);
-        return;
+        return step_result::no_room;
     }
     std::map<std::string, int> placed_on;
     bool left = false;
@@ -181,6 +185,7 @@
     }
     if (left && advised)
         ask_advice(at, ready, all);
+    return left ? step_result::no_room : step_result::placed;
 }
 
 bool job_engine::place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
@@ -230,6 +235,8 @@
 }
 
 void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
+    if (m_reserving >= reserving_gangs)
+        return;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
         ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
@@ -244,6 +251,7 @@
     std::ranges::stable_sort(by_free, std::ranges::greater{},
                              [](const target_state* target) { return target->free().cpu_milli; });
     std::int64_t missing = spec.count();
+    m_reserving += by_free.empty() ? 0 : 1;
     for (const auto* target : by_free) {
         if (missing <= 0)
             return;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -152,6 +152,11 @@
     return found && is_live(*found);
 }
 
+bool membership::suspected(const std::string& id) const {
+    const auto found = find(id);
+    return found && found->state() == pb::member::suspect;
+}
+
 std::vector<pb::member> membership::all() const {
     std::vector<pb::member> members{m_self};
     for (const auto& [id, known] : m_members)
