--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -212,10 +212,11 @@
         order.address = target.entry.address;
         order.epoch = m_options.epoch;
         order.acked_upto = target.acked_upto;
-        if (target.claimed && target.clock_read != instant{}) {
+        // A silent target's leases aren't renewed, or it would never be known when they have lapsed.
+        if (target.claimed && !target.suspect && target.clock_read != instant{}) {
             order.deadline_ms = target.clock_at(at) + m_options.lease.count();
             target.granted_ms = std::max(target.granted_ms, *order.deadline_ms);
-            if (!target.suspect && !target.runs.empty())
+            if (!target.runs.empty())
                 order.wait = m_options.poll_wait;
         }
         target.poll_out = true;
--- /dev/null
+++ b/test/job_engine_test.cpp
@@ -0,0 +1,286 @@
+#include "job_world.h"
+
+#include "jobs/advice_lanes.h"
+#include "jobs/waiting_order.h"
+
+#include <catch2/catch.hpp>
+
+using namespace medlarhub;
+using namespace medlarhub::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start{std::chrono::hours{1000}};
+
+std::size_t starts_of(const job_world& world, const std::string& prefix) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        world.starts(), [&](const std::string& each) { return each.starts_with(prefix); }));
+}
+
+} // namespace
+
+TEST_CASE("a job runs each of its tasks once and ends", "[engine]") {
+    struct row {
+        const char* name;
+        std::vector<pb::step_spec> steps;
+        std::size_t starts;
+    };
+    auto after = simple_step(2, 1000);
+    after.add_after(0);
+    auto gang = simple_step(4, 2000);
+    gang.set_gang(true);
+    auto apart = simple_step(3, 500);
+    apart.set_max_per_target(1);
+    const auto given = GENERATE_COPY(row{"one task", {simple_step(1, 1000)}, 1},
+                                     row{"steps in order", {simple_step(3, 1000), after}, 5},
+                                     row{"a gang", {gang}, 4}, row{"one a target", {apart}, 3},
+                                     row{"more than fits at once", {simple_step(30, 1000)}, 30});
+    INFO(given.name);
+    job_world world{{}, 1};
+    world.submit(simple_job("j", given.steps));
+    world.run_for(6s);
+    CHECK(world.violation().empty());
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+    CHECK(world.starts().size() == given.starts);
+}
+
+TEST_CASE("a job ends as failed after its attempts, and only its own failures count", "[engine]") {
+    job_world world{{}, 2};
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    for (int i = 0; i < 150; ++i) {
+        world.fail_next("j.0.0.0");
+        world.run_for(20ms);
+    }
+    CHECK(world.owner().state("j") == pb::job_answer::failed);
+    CHECK(world.starts().size() == 3);
+}
+
+TEST_CASE("a takeover finds what runs at targets and starts none of it again", "[engine][recovery]") {
+    job_world world{{.work = 2s}, 3};
+    world.submit(simple_job("j", {simple_step(5, 1000)}));
+    world.run_for(500ms);
+    REQUIRE(world.starts().size() == 5);
+    world.take_over();
+    world.run_for(4s);
+    CHECK(world.violation().empty());
+    CHECK(world.starts().size() == 5);
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+}
+
+TEST_CASE("a failure listed again after a takeover counts once", "[engine][recovery]") {
+    job_world world{{}, 4};
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.fail_next("j.0.0.0");
+    world.run_for(460ms);
+    world.take_over();
+    world.fail_next("j.0.0.0");
+    world.run_for(600ms);
+    world.take_over();
+    world.run_for(3s);
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+}
+
+TEST_CASE("a target that isn't reached at a takeover holds earlier jobs back, not later ones",
+          "[engine][recovery]") {
+    job_world world{{.work = 60s}, 5};
+    world.submit(simple_job("early", {simple_step(1, 3000)}));
+    world.run_for(500ms);
+    const auto where = world.starts().front().substr(world.starts().front().find('@') + 1);
+    world.silence(where, 30s);
+    world.take_over();
+    world.submit(simple_job("late", {simple_step(1, 1000)}));
+    world.run_for(2s);
+    CHECK(starts_of(world, "early") == 1);
+    CHECK(starts_of(world, "late") == 1);
+    world.run_for(8s);
+    CHECK(starts_of(world, "early") == 2);
+    CHECK(world.violation().empty());
+}
+
+TEST_CASE("a task on a silent target runs elsewhere once its lease has lapsed", "[engine][lease]") {
+    job_world world{{.work = 20s}, 6};
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.run_for(500ms);
+    const auto where = world.starts().front().substr(world.starts().front().find('@') + 1);
+    world.silence(where, 60s);
+    world.run_for(3s);
+    CHECK(world.starts().size() == 1);
+    world.run_for(5s);
+    CHECK(world.starts().size() == 2);
+    CHECK(world.violation().empty());
+}
+
+TEST_CASE("an order that is carried out late never makes a second run", "[engine][late]") {
+    const auto late = GENERATE(1500ms, 3000ms, 8000ms);
+    job_world world{{.work = 5s}, 7};
+    world.run_for(500ms);
+    world.delay_orders(late);
+    world.submit(simple_job("j", {simple_step(2, 1000)}));
+    world.run_for(100ms);
+    world.delay_orders(0ms);
+    world.run_for(25s);
+    CHECK(world.violation().empty());
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+}
+
+TEST_CASE("work on a target that started anew runs again", "[engine]") {
+    job_world world{{.targets = 1, .work = 2s}, 8};
+    world.submit(simple_job("j", {simple_step(2, 1000)}));
+    world.run_for(500ms);
+    world.restart("t0");
+    world.run_for(8s);
+    CHECK(world.violation().empty());
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+    CHECK(world.starts().size() == 4);
+}
+
+TEST_CASE("a cancelled job starts nothing more and what runs is stopped", "[engine]") {
+    job_world world{{.work = 10s}, 9};
+    world.submit(simple_job("j", {simple_step(30, 1000)}));
+    world.run_for(500ms);
+    const auto before = world.starts().size();
+    world.cancel("j");
+    world.run_for(1s);
+    CHECK(world.starts().size() == before);
+    for (const auto* id : {"t0", "t1", "t2"})
+        CHECK(world.target(id).running().empty());
+    CHECK(world.owner().state("j") == pb::job_answer::cancelled);
+}
+
+TEST_CASE("a team never holds more than its upper limit", "[engine][limit]") {
+    job_world world{{.work = 5s}, 10};
+    world.set_config([](cell_config& config) { config.teams["orchard"].cap.cpu_milli = 5000; });
+    world.submit(simple_job("j", {simple_step(20, 1000)}));
+    world.run_for(2s);
+    CHECK(world.starts().size() == 5);
+}
+
+TEST_CASE("a drained data centre gets no starts", "[engine]") {
+    job_world world{{}, 11};
+    world.owner().set_drained({"vernon"});
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.run_for(2s);
+    CHECK(world.starts().empty());
+    world.owner().set_drained({});
+    world.run_for(2s);
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+}
+
+TEST_CASE("gangs that wait for room don't keep batch work from what they leave", "[engine][load]") {
+    job_world world{{.targets = 4, .work = 10s}, 12};
+    auto wide = simple_step(6, 3000); // four fit at once
+    wide.set_gang(true);
+    for (const auto* id : {"g1", "g2", "g3"})
+        world.submit(simple_job(id, {wide}));
+    auto small = simple_step(1, 500);
+    world.submit(simple_job("small", {small}));
+    world.run_for(1s);
+    CHECK(starts_of(world, "g") == 0);
+    CHECK(starts_of(world, "small") == 0); // two gangs may hold all four targets back
+    world.cancel("g1");
+    world.cancel("g2");
+    world.cancel("g3");
+    world.run_for(1s);
+    CHECK(starts_of(world, "small") == 1);
+}
+
+TEST_CASE("an occurrence starts when it is due, and the job ends with the last", "[engine][times]") {
+    job_world world{{}, 13};
+    auto spec = simple_job("j", {simple_step(1, 1000)});
+    spec.set_times(3);
+    spec.set_interval_ms(2000);
+    spec.set_start_at_ms(to_ms(world.at() + 1s));
+    world.submit(spec);
+    world.run_for(800ms);
+    CHECK(world.starts().empty());
+    world.run_for(1s);
+    CHECK(world.starts().size() == 1);
+    world.take_over();
+    world.run_for(2s);
+    CHECK(world.starts().size() == 2);
+    world.run_for(3s);
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+    CHECK(world.starts().size() == 3);
+}
+
+TEST_CASE("a long-running task is started again however it ends", "[engine]") {
+    job_world world{{.work = 1s}, 14};
+    auto step = simple_step(1, 1000);
+    step.set_long_running(true);
+    world.submit(simple_job("j", {step}));
+    world.run_for(5s);
+    CHECK(world.starts().size() >= 3);
+    CHECK(world.owner().state("j") == pb::job_answer::running);
+    world.cancel("j");
+    world.run_for(1s);
+    CHECK(world.owner().state("j") == pb::job_answer::cancelled);
+}
+
+TEST_CASE("a job that was handed out for writing is not taken back", "[engine]") {
+    engine_options options;
+    job_engine engine{options};
+    (void)engine.accept(start, simple_job("j", {simple_step(1, 1000)}));
+    SECTION("before") {
+        CHECK(engine.withdraw("j"));
+        CHECK_FALSE(engine.known("j"));
+        CHECK(engine.take_rows(start).rows.empty());
+    }
+    SECTION("after") {
+        CHECK(engine.take_rows(start).rows.size() == 1);
+        CHECK_FALSE(engine.withdraw("j"));
+    }
+}
+
+TEST_CASE("promises hold over random orders of faults", "[engine][faults]") {
+    constexpr int worlds = 120;
+    constexpr int faults = 60;
+    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
+        INFO("seed " << seed);
+        job_world world{{}, seed};
+        for (int i = 0; i < faults && world.violation().empty(); ++i)
+            world.fault();
+        world.heal(60s);
+        REQUIRE(world.violation().empty());
+        REQUIRE(world.open().empty());
+    }
+}
+
+TEST_CASE("who waits: within the rate, then priority, then what can be in time, then due", "[queue]") {
+    struct row {
+        const char* name;
+        waiting_step first;
+        waiting_step second;
+    };
+    const auto due = [](milliseconds at) { return start + at; };
+    const auto given = GENERATE_COPY(
+        row{"a team within its rate", {false, 2, due(9s), due(30s)}, {true, 0, due(1s), due(30s)}},
+        row{"priority", {false, 0, due(9s), due(30s)}, {false, 1, due(1s), due(30s)}},
+        row{"in time before late", {false, 1, due(9s), due(30s)}, {false, 1, due(-1s), due(30s)}},
+        row{"worth something before nothing", {false, 2, due(9s), due(30s)}, {false, 0, due(-9s), due(-1s)}},
+        row{"the earlier due", {false, 1, due(1s), due(30s)}, {false, 1, due(2s), due(30s)}});
+    INFO(given.name);
+    CHECK(goes_before(start, given.first, given.second));
+    CHECK_FALSE(goes_before(start, given.second, given.first));
+}
+
+TEST_CASE("a team's rate lets a burst through and then its share", "[queue][load]") {
+    rate_allowance allowance;
+    int taken = 0;
+    for (int ms = 0; ms < 10'000; ms += 10)
+        taken += allowance.take(start + milliseconds{ms}, 5) ? 1 : 0;
+    CHECK(taken == 59); // 2 s of its rate at once, then 5 a second for 9.99 s
+}
+
+TEST_CASE("a pile of questions is asked one ahead of each node, long ones apart", "[advice][load]") {
+    advice_lanes lanes;
+    lanes.set_nodes({"a", "b", "c", "d"});
+    int asked = 0;
+    for (int i = 0; i < 100; ++i)
+        asked += lanes.take(start, 600ms) ? 1 : 0;
+    CHECK(asked == 2);
+    const auto node = lanes.take(start, 8ms);
+    REQUIRE(node);
+    CHECK((*node == "c" || *node == "d"));
+    CHECK(lanes.take(start + 600ms, 600ms));
+}
--- /dev/null
+++ b/test/job_world.cpp
@@ -0,0 +1,311 @@
+#include "job_world.h"
+
+#include <algorithm>
+
+namespace medlarhub::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr milliseconds step_time{20};
+constexpr milliseconds order_timeout{1000};
+constexpr milliseconds usual_delay{5};
+constexpr milliseconds unknown_runs{7500};
+
+} // namespace
+
+pb::step_spec simple_step(int count, std::int64_t cpu_milli) {
+    pb::step_spec step;
+    step.set_count(count);
+    step.mutable_need()->set_cpu_milli(cpu_milli);
+    step.set_estimate_ms(300);
+    return step;
+}
+
+pb::job_spec simple_job(const std::string& id, const std::vector<pb::step_spec>& steps) {
+    pb::job_spec spec;
+    spec.set_id(id);
+    spec.set_queue("checks");
+    spec.set_team("orchard");
+    spec.set_body("wax");
+    for (const auto& step : steps)
+        *spec.add_steps() = step;
+    return spec;
+}
+
+job_world::job_world(options given, std::uint64_t seed) : m_options{given}, m_random{seed} {
+    m_config = std::make_shared<cell_config>();
+    queue_policy queue;
+    queue.name = "checks";
+    queue.service = "orders";
+    queue.max_attempts = 3;
+    m_config->queues[queue.name] = queue;
+    team_policy team;
+    team.name = "orchard";
+    m_config->teams[team.name] = team;
+    for (int i = 0; i < given.targets; ++i) {
+        const auto id = "t" + std::to_string(i);
+        m_targets.emplace(id, standin::job_target{id, {given.cpu_milli, 64'000, 0}, m_at});
+    }
+    take_over();
+}
+
+void job_world::set_config(const std::function<void(cell_config&)>& change) {
+    auto made = std::make_shared<cell_config>(*m_config);
+    change(*made);
+    m_config = made;
+    m_owner->set_config(m_config);
+}
+
+void job_world::take_over() {
+    engine_options made;
+    made.epoch = ++m_epoch;
+    made.unknown_runs = unknown_runs;
+    m_owner = std::make_shared<job_engine>(made);
+    m_owner->set_config(m_config);
+    m_owner->restore(m_specs, m_progress);
+    m_owner->restore_roster(m_at, m_roster);
+    std::vector<target_entry> entries;
+    for (const auto& [id, target] : m_targets)
+        entries.push_back(target.entry());
+    m_owner->set_targets(m_at, entries);
+    pump();
+}
+
+void job_world::submit(pb::job_spec spec) {
+    m_submitted[spec.id()] = spec;
+    (void)m_owner->accept(m_at, std::move(spec));
+    pump();
+}
+
+void job_world::cancel(const std::string& job) {
+    if (m_owner->cancel(m_at, job))
+        m_cancelled.insert(job);
+    pump();
+}
+
+void job_world::silence(const std::string& target, milliseconds time) {
+    m_silent[target] = m_at + time;
+}
+
+void job_world::restart(const std::string& target) {
+    m_targets.at(target).restart(m_at);
+}
+
+bool job_world::reachable(const std::string& target) const {
+    const auto silent = m_silent.find(target);
+    return silent == m_silent.end() || m_at >= silent->second;
+}
+
+bool job_world::lost() {
+    constexpr int one_in = 12;
+    return m_faulty && m_random() % one_in == 0;
+}
+
+milliseconds job_world::delay() {
+    constexpr int spread_ms = 60;
+    return m_faulty ? milliseconds{1 + static_cast<int>(m_random() % spread_ms)} : usual_delay;
+}
+
+void job_world::violate(const std::string& what) {
+    if (m_violation.empty())
+        m_violation = what;
+}
+
+void job_world::write_rows() {
+    while (m_owner->write_due(m_at)) {
+        const auto rows = m_owner->take_rows(m_at);
+        for (const auto& row : rows.rows) {
+            if (row.spec)
+                m_specs[row.job].ParseFromString(*row.spec);
+            if (row.progress)
+                m_progress[row.job].ParseFromString(*row.progress);
+            if (row.drop_spec)
+                m_specs.erase(row.job);
+            if (row.drop_progress)
+                m_progress.erase(row.job);
+            if (row.progress && m_submitted.contains(row.job))
+                m_accepted.insert(row.job);
+        }
+        if (rows.roster) {
+            pb::roster roster;
+            roster.ParseFromString(*rows.roster);
+            m_roster.assign(roster.targets().begin(), roster.targets().end());
+        }
+        m_owner->rows_written(m_at);
+    }
+}
+
+void job_world::pump() {
+    write_rows();
+    for (const auto& order : m_owner->take_orders(m_at))
+        send(order);
+    for (const auto& order : m_owner->take_polls(m_at))
+        poll(order);
+    for (const auto& question : m_owner->take_questions())
+        m_owner->advice_failed(m_at, question);
+}
+
+void job_world::carry_out(const target_order& order) {
+    auto& target = m_targets.at(order.target);
+    const auto task = order.task.to_string();
+    if (order.kind == order_kind::stop) {
+        (void)target.stop(m_at, order);
+        return;
+    }
+    const auto& spec = m_submitted.at(order.task.job);
+    const auto before = target.running().contains(task);
+    const auto outcome = target.start(m_at, order, need_of(spec.steps(order.task.step)), m_options.work);
+    if (outcome != order_outcome::done || before)
+        return;
+    m_starts.push_back(task + "@" + order.target);
+    if (m_done.contains(task))
+        violate("a start after its end was acknowledged: " + task);
+    const auto held = target.held();
+    if (held.cpu_milli > target.entry().capacity.cpu_milli)
+        violate("target over its capacity: " + order.target);
+    int places = 0;
+    for (const auto& [id, each] : m_targets)
+        places += each.running().contains(task) ? 1 : 0;
+    if (places > 1)
+        violate("a task in two places: " + task);
+}
+
+void job_world::send(const target_order& order) {
+    const auto owner = m_owner;
+    const auto answer = [this, owner, order](order_outcome outcome, milliseconds after) {
+        m_messages.emplace(m_at + after, [this, owner, order, outcome] {
+            owner->answered(m_at, order, outcome, 0);
+        });
+    };
+    if (m_late > 0ms || lost()) {
+        answer(order_outcome::lost, order_timeout);
+        const bool carried = m_late > 0ms || m_random() % 2 == 0;
+        const auto late = m_late > 0ms ? m_late : milliseconds{2000 + static_cast<int>(m_random() % 10'000)};
+        if (carried)
+            m_messages.emplace(m_at + late, [this, order] { carry_out(order); });
+        return;
+    }
+    m_messages.emplace(m_at + delay(), [this, owner, order, answer] {
+        if (!reachable(order.target))
+            return answer(order_outcome::lost, order_timeout);
+        auto& target = m_targets.at(order.target);
+        carry_out(order);
+        // What a repeated call answers is what the first one did.
+        const auto task = order.task.to_string();
+        order_outcome outcome = order_outcome::done;
+        if (order.kind == order_kind::start) {
+            const auto run = target.running().find(task);
+            const bool runs = run != target.running().end() && run->second.number == order.run;
+            auto probe = order;
+            outcome = runs ? order_outcome::done : target.start(m_at, probe, {}, m_options.work);
+        } else {
+            outcome = target.stop(m_at, order);
+        }
+        if (lost())
+            return answer(order_outcome::lost, order_timeout);
+        answer(outcome, delay());
+    });
+}
+
+void job_world::poll(const poll_order& order) {
+    const auto owner = m_owner;
+    const auto sent = m_at;
+    const auto answer = [this, owner, order, sent](const poll_result& result, milliseconds after) {
+        m_messages.emplace(m_at + after, [this, owner, order, sent, result] {
+            owner->polled(m_at, sent, order, result);
+            if (result.outcome == order_outcome::done)
+                note_done();
+        });
+    };
+    m_messages.emplace(m_at + delay(), [this, order, answer] {
+        if (!reachable(order.target) || lost())
+            return answer(poll_result{}, order_timeout);
+        const auto result = m_targets.at(order.target).poll(m_at, order);
+        note_done();
+        if (lost())
+            return answer(poll_result{}, order_timeout);
+        answer(result, delay());
+    });
+}
+
+void job_world::note_done() {
+    for (const auto& [id, target] : m_targets) {
+        for (const auto& end : target.acknowledged()) {
+            if (end.how == end_kind::done)
+                m_done.insert(end.task);
+        }
+    }
+}
+
+void job_world::step() {
+    m_at += step_time;
+    for (auto& [id, target] : m_targets) {
+        target.advance(m_at, [&](const std::string& task, int) { return m_failing.erase(task) > 0; });
+    }
+    while (!m_messages.empty() && m_messages.begin()->first <= m_at) {
+        const auto deliver = m_messages.begin()->second;
+        m_messages.erase(m_messages.begin());
+        deliver();
+        pump();
+    }
+    m_owner->tick(m_at);
+    pump();
+}
+
+void job_world::run_for(milliseconds time) {
+    for (auto passed = 0ms; passed < time; passed += step_time)
+        step();
+}
+
+void job_world::fault() {
+    m_faulty = true;
+    const auto pick = [&](std::uint64_t most) { return m_random() % most; };
+    const auto any_target = "t" + std::to_string(pick(m_targets.size()));
+    constexpr std::uint64_t kinds = 12;
+    switch (pick(kinds)) {
+    case 0:
+        take_over();
+        break;
+    case 1:
+        silence(any_target, milliseconds{500 + static_cast<int>(pick(8000))});
+        break;
+    case 2:
+        if (m_submitted.size() > 1)
+            cancel(std::next(m_submitted.begin(), static_cast<std::ptrdiff_t>(pick(m_submitted.size())))->first);
+        break;
+    case 3: // A run that fails by its own fault, once.
+        for (const auto& [task, run] : m_targets.at(any_target).running())
+            m_failing.insert(task);
+        break;
+    case 4:
+    case 5: {
+        auto step = simple_step(1 + static_cast<int>(pick(3)), 1000);
+        step.set_gang(pick(3) == 0);
+        submit(simple_job("j" + std::to_string(m_submitted.size()), {step}));
+        break;
+    }
+    default:
+        run_for(milliseconds{static_cast<int>(pick(600))});
+    }
+}
+
+void job_world::heal(milliseconds time) {
+    m_faulty = false;
+    m_silent.clear();
+    m_late = 0ms;
+    run_for(time);
+}
+
+std::vector<std::string> job_world::open() const {
+    std::vector<std::string> found;
+    for (const auto& id : m_accepted) {
+        const auto state = m_owner->state(id);
+        if (state == pb::job_answer::queued || state == pb::job_answer::running || state == pb::job_answer::none)
+            found.push_back(id);
+    }
+    return found;
+}
+
+} // namespace medlarhub::testing
--- /dev/null
+++ b/test/job_world.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "standin/job_target.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlarhub::testing {
+
+/// Owners that follow one another over the same rows and targets, in virtual time. Messages may be late, lost
+/// on either way, or carried out seconds later; targets may fall silent or start anew.
+class job_world {
+public:
+    struct options {
+        int targets = 3;
+        std::int64_t cpu_milli = 4000;
+        milliseconds work{300};
+        bool faults = true;
+        bool share_rates = false;
+    };
+
+    job_world(options given, std::uint64_t seed);
+
+    // What a test does by hand.
+    void submit(pb::job_spec spec);
+    void cancel(const std::string& job);
+    void run_for(milliseconds time);
+    /// The next owner: it knows the rows that were written and what targets list.
+    void take_over();
+    void silence(const std::string& target, milliseconds time);
+    void restart(const std::string& target);
+    void fail_next(const std::string& task) { m_failing.insert(task); }
+    /// Orders sent from now on are carried out this much later and not answered.
+    void delay_orders(milliseconds late) { m_late = late; }
+    void set_config(const std::function<void(cell_config&)>& change);
+
+    /// One random event.
+    void fault();
+    /// Ends all faults and lets the work finish.
+    void heal(milliseconds time);
+
+    [[nodiscard]] job_engine& owner() { return *m_owner; }
+    [[nodiscard]] standin::job_target& target(const std::string& id) { return m_targets.at(id); }
+    [[nodiscard]] const std::vector<std::string>& starts() const { return m_starts; }
+    [[nodiscard]] instant at() const { return m_at; }
+    /// The first thing that broke a promise; empty when nothing did.
+    [[nodiscard]] const std::string& violation() const { return m_violation; }
+    /// Accepted jobs that have not ended.
+    [[nodiscard]] std::vector<std::string> open() const;
+
+private:
+    struct message {
+        instant due{};
+        std::function<void()> deliver;
+    };
+
+    void step();
+    void pump();
+    void write_rows();
+    void send(const target_order& order);
+    void poll(const poll_order& order);
+    void carry_out(const target_order& order);
+    void note_done();
+    void violate(const std::string& what);
+    [[nodiscard]] bool reachable(const std::string& target) const;
+    [[nodiscard]] bool lost();
+    [[nodiscard]] milliseconds delay();
+
+    options m_options;
+    std::mt19937_64 m_random;
+    instant m_at{std::chrono::hours{1000}};
+    std::uint64_t m_epoch = 0;
+    std::shared_ptr<job_engine> m_owner;
+    std::shared_ptr<cell_config> m_config;
+    std::map<std::string, standin::job_target> m_targets;
+    std::map<std::string, instant> m_silent;
+    std::map<std::string, pb::job_spec> m_specs;         ///< rows
+    std::map<std::string, pb::job_progress> m_progress;  ///< rows
+    std::vector<std::string> m_roster;                   ///< row
+    std::map<std::string, pb::job_spec> m_submitted;
+    std::set<std::string> m_accepted;
+    std::set<std::string> m_cancelled;
+    std::set<std::string> m_done;    ///< tasks whose end was acknowledged
+    std::set<std::string> m_failing; ///< tasks whose next run fails
+    std::multimap<instant, std::function<void()>> m_messages;
+    milliseconds m_late{0};
+    bool m_faulty = false;
+    std::vector<std::string> m_starts;
+    std::string m_violation;
+};
+
+pb::step_spec simple_step(int count, std::int64_t cpu_milli);
+pb::job_spec simple_job(const std::string& id, const std::vector<pb::step_spec>& steps);
+
+} // namespace medlarhub::testing
--- /dev/null
+++ b/test/platform_test.cpp
@@ -0,0 +1,144 @@
+#include "cell/admission.h"
+#include "cell/partition_rows.h"
+#include "platform/boot.h"
+#include "platform/codec.h"
+#include "standin/memory_platform.h"
+
+#include "medlarhub/hash.h"
+#include "medlarhub/reason.h"
+
+#include <catch2/catch.hpp>
+
+using namespace medlarhub;
+
+namespace {
+
+constexpr auto entry_text = R"({"service":"s","addr":"10.0.0.9:80","zone":"vernon","state":"ready",
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},"labels":["a","r1-3"],"born":7,"seq":4})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("a worker's entry is decoded once, and a bad one names no target", "[platform]") {
+    const auto entry = platform::decode_worker("w1", entry_text);
+    REQUIRE(entry);
+    CHECK(entry->capacity == resources{16000, 32768, 1});
+    CHECK(entry->rack == "r1-3");
+    CHECK(entry->born_ms == 7);
+    struct row {
+        const char* name;
+        std::string text;
+    };
+    const std::string good = entry_text;
+    const auto bad = GENERATE_COPY(row{"bytes", "\xff\xfe{"}, row{"another type", "[1,2]"},
+                                   row{"no service", replaced(good, "\"service\":\"s\",", "")},
+                                   row{"service of another type", replaced(good, "\"s\"", "5")},
+                                   row{"no capacity", replaced(good, "\"capacity\"", "\"other\"")},
+                                   row{"unknown state", replaced(good, "ready", "asleep")},
+                                   row{"nested deep", std::string(100'000, '[')});
+    INFO(bad.name);
+    CHECK_FALSE(platform::decode_worker("w1", bad.text));
+    CHECK_FALSE(last_reason().empty());
+}
+
+TEST_CASE("a job's body is decoded whole or refused", "[platform]") {
+    const auto spec = platform::decode_job(
+        "5c0e7a21d94b36f8", R"({"spec":"x","steps":[{"count":2,"cpu":500,"gang":true,"same_rack":true},
+        {"count":1,"after":[0],"anti_affinity":1,"requires":"a","affinity":"r1-1","checkpoint":true}]})");
+    REQUIRE(spec);
+    CHECK(spec->steps(0).gang());
+    CHECK(spec->steps(1).max_per_target() == 1);
+    CHECK_FALSE(fault_of(*spec));
+    struct row {
+        const char* text;
+        bool decodes;
+    };
+    const auto given = GENERATE(row{"", false}, row{"{", false}, row{"{}", false}, row{R"({"steps":5})", false},
+                                row{R"({"steps":[5]})", false}, row{R"({"steps":[{"after":["x"]}]})", false},
+                                row{R"({"steps":[]})", true}, row{R"({"steps":[{"count":0}]})", true},
+                                row{R"({"steps":[{"count":1,"after":[0]}]})", true},
+                                row{R"({"steps":[{"count":1,"cpu":-1}]})", true});
+    INFO(given.text);
+    const auto bad = platform::decode_job("5c0e7a21d94b36f8", given.text);
+    CHECK(bad.has_value() == given.decodes);
+    if (bad)
+        CHECK(fault_of(*bad));
+}
+
+TEST_CASE("a worker's lists leave out rows that can't be read", "[platform]") {
+    const auto lists = platform::decode_lists(
+        R"({"clock_ms":9,"born":3,"running":[["j.0.0.1",2,"s",41,7],["short"],5],
+            "ended":[[58,"j.0.0.9",1,"done",""],[59,"j.0.0.8",1,"melted",""]]})");
+    REQUIRE(lists);
+    CHECK(lists->unreadable == 3);
+    REQUIRE(lists->result.running.size() == 1);
+    CHECK(lists->result.running[0].percent == 41);
+    REQUIRE(lists->result.ended.size() == 1);
+    CHECK(lists->result.ended[0].how == end_kind::done);
+    CHECK_FALSE(platform::decode_lists("{}"));
+}
+
+TEST_CASE("settings of a process need what the node can't do without", "[platform]") {
+    const std::string good = R"({"node":"n","zone":"z","ip":"10.1.0.17","listen":{"front":"10.1.0.17:1",
+        "ready":"10.1.0.17:2"},"port_range":[7420,7435],"seeds":["10.2.0.15:8180"],"advice":"10.9.9.9:1",
+        "platform":{"addr":"10.200.1.7:8182"},"bounds":{"hold_max_ms":6000,"grace_s":6},"new":{"field":1}})";
+    const auto boot = platform::parse_boot_settings(good);
+    REQUIRE(boot);
+    CHECK(boot->peer_address == "10.1.0.17:7420");
+    CHECK(boot->peer_seeds == std::vector<std::string>{"10.2.0.15:7420"});
+    for (const auto* missing : {"\"node\"", "\"ip\"", "\"front\"", "\"addr\"", "\"port_range\""})
+        CHECK_FALSE(platform::parse_boot_settings(replaced(good, missing, "\"other\"")));
+}
+
+TEST_CASE("routes are chosen by host and longest prefix, teams by key", "[cell]") {
+    const auto config = platform::decode_config(
+        R"({"version":7,"routes":[{"name":"a","host":"h","path_prefix":"/x/","service":"s"},
+        {"name":"b","host":"h","path_prefix":"/x/y/","service":"s","advice":{"decide_ms":5.6,"valid_ms":2000}}],
+        "tenants":[{"name":"t","api_keys":["k1","k2"],"weight":3.5,"cap":{"cpu":5}}]})");
+    REQUIRE(config);
+    CHECK(find_queue(*config, "h", "/x/1")->name == "a");
+    CHECK(find_queue(*config, "h", "/x/y/1")->name == "b");
+    CHECK(find_queue(*config, "h", "/z/1") == nullptr);
+    CHECK(find_queue(*config, "other", "/x/1") == nullptr);
+    CHECK(find_team(*config, "k2")->name == "t");
+    CHECK(find_team(*config, "k3") == nullptr);
+    CHECK(find_team(*config, "") == nullptr);
+}
+
+TEST_CASE("a deposed owner's rows change nothing", "[rows]") {
+    standin::memory_table table;
+    partition_rows first{table, 0, "a/1", "10.0.0.1:1"};
+    partition_rows second{table, 0, "b/1", "10.0.0.2:1"};
+    REQUIRE(first.take() == 1);
+    job_rows rows;
+    rows.rows.push_back({"j1", "", "", false, false});
+    CHECK(first.write(rows) == row_outcome::written);
+    REQUIRE(second.take() == 2);
+    rows.rows[0].job = "j2";
+    CHECK(first.write(rows) == row_outcome::deposed);
+    CHECK(first.confirm() == row_outcome::deposed);
+    const auto content = second.load();
+    REQUIRE(content);
+    CHECK(content->specs.size() == 1);
+}
+
+TEST_CASE("a write whose answer was lost counts once it is seen to have been carried out", "[rows]") {
+    standin::memory_table table;
+    partition_rows rows{table, 0, "a/1", "10.0.0.1:1"};
+    REQUIRE(rows.take());
+    job_rows some;
+    some.rows.push_back({"j1", "", "", false, false});
+    table.set_mode(standin::platform_mode::lose_answer);
+    CHECK(rows.write(some) == row_outcome::written); // the head row shows it
+    table.set_mode(standin::platform_mode::down);
+    CHECK(rows.write(some) == row_outcome::unavailable);
+    table.set_mode(standin::platform_mode::up);
+    CHECK(rows.write(some) == row_outcome::written);
+    CHECK(rows.release() == row_outcome::written);
+    CHECK(rows.look()->owner().empty());
+}
--- /dev/null
+++ b/test/standin/job_target.cpp
@@ -0,0 +1,116 @@
+#include "standin/job_target.h"
+
+#include <algorithm>
+
+namespace medlarhub::standin {
+
+job_target::job_target(std::string id, resources capacity, instant at)
+    : m_id{std::move(id)}, m_capacity{capacity}, m_born{at} {}
+
+bool job_target::fenced(std::uint64_t epoch) {
+    if (epoch < m_fence)
+        return true;
+    m_fence = epoch;
+    return false;
+}
+
+order_outcome job_target::start(instant at, const target_order& order, const resources& need,
+                                milliseconds work) {
+    if (fenced(order.epoch))
+        return order_outcome::fenced;
+    if (order.deadline_ms <= clock(at))
+        return order_outcome::too_late;
+    m_deadline_ms = std::max(m_deadline_ms, order.deadline_ms);
+    const auto task = order.task.to_string();
+    const auto present = m_running.find(task);
+    if (present != m_running.end() && present->second.number == order.run)
+        return order_outcome::done;
+    const auto barred = m_barred.find(task);
+    if (present != m_running.end() || (barred != m_barred.end() && order.run <= barred->second))
+        return order_outcome::superseded;
+    m_running[task] = {order.run, need, at, work, order.saved};
+    return order_outcome::done;
+}
+
+order_outcome job_target::stop(instant /*at*/, const target_order& order) {
+    if (fenced(order.epoch))
+        return order_outcome::fenced;
+    const auto task = order.task.to_string();
+    auto& barred = m_barred[task];
+    barred = std::max(barred, order.run);
+    const auto present = m_running.find(task);
+    if (present != m_running.end() && present->second.number <= order.run)
+        end(task, end_kind::stopped);
+    return order_outcome::done;
+}
+
+poll_result job_target::poll(instant at, const poll_order& order) {
+    poll_result result;
+    if (fenced(order.epoch)) {
+        result.outcome = order_outcome::fenced;
+        return result;
+    }
+    if (order.deadline_ms)
+        m_deadline_ms = std::max(m_deadline_ms, *order.deadline_ms);
+    std::erase_if(m_ended, [&](const listed_end& each) {
+        if (each.number > order.acked_upto)
+            return false;
+        m_acknowledged.push_back(each);
+        return true;
+    });
+    result.outcome = order_outcome::done;
+    result.clock_ms = clock(at);
+    result.born_ms = to_ms(m_born);
+    for (const auto& [task, run] : m_running)
+        result.running.push_back({task, run.number, run.saved, 0});
+    result.ended = m_ended;
+    return result;
+}
+
+void job_target::end(const std::string& task, end_kind how) {
+    const auto run = m_running.at(task);
+    m_running.erase(task);
+    auto& barred = m_barred[task];
+    barred = std::max(barred, run.number);
+    m_ended.push_back({m_next_end++, task, run.number, how, run.saved});
+}
+
+void job_target::advance(instant at, const std::function<bool(const std::string&, int)>& fails) {
+    std::vector<std::string> over;
+    for (const auto& [task, run] : m_running) {
+        if (clock(at) > m_deadline_ms || at - run.began >= run.work)
+            over.push_back(task);
+    }
+    for (const auto& task : over) {
+        if (clock(at) > m_deadline_ms)
+            end(task, end_kind::lapsed);
+        else
+            end(task, fails(task, m_running.at(task).number) ? end_kind::failed : end_kind::done);
+    }
+}
+
+void job_target::restart(instant at) {
+    *this = job_target{m_id, m_capacity, at};
+}
+
+target_entry job_target::entry() const {
+    target_entry made;
+    made.id = m_id;
+    made.service = "orders";
+    made.address = m_id + ":80";
+    made.data_centre = "vernon";
+    made.labels = {"a", "r1"};
+    made.rack = "r1";
+    made.capacity = m_capacity;
+    made.born_ms = to_ms(m_born);
+    return made;
+}
+
+resources job_target::held() const {
+    resources held;
+    for (const auto& [task, run] : m_running)
+        held += run.held;
+    return held;
+}
+
+} // namespace medlarhub::standin
