Take over runs of steps whose earlier ends come later, and wait for unknown runs

Change: runs are adopted whether or not their step is known to be ready; a task with an unwanted run anywhere waits; nothing is placed beside a run of unknown need.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -283,6 +283,8 @@
     void ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates);
     [[nodiscard]] std::int64_t free_cpu_milli(instant at) const;
     [[nodiscard]] std::vector<target_state*> candidates(instant at, const ready_step& ready);
+    /// Whether an unwanted run of the task is still on its way out somewhere.
+    [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
     [[nodiscard]] int next_number(int last) const;
@@ -294,6 +296,7 @@
     std::set<std::string> m_open;
     std::set<std::string> m_timed; ///< open jobs with occurrences to come
     std::map<std::string, target_state> m_targets;
+    std::set<task_name> m_stray_tasks; ///< as of the last pass
     std::set<std::string> m_unclaimed; ///< of the roster, since the takeover
     instant m_doubt_ends{};
     bool m_doubt = false;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -40,7 +40,7 @@
 
 bool job_engine::usable(instant at, const target_state& target) const {
     return target.listed && target.claimed && !target.suspect && !target.entry.draining &&
-           at >= target.avoid_until && !m_drained.contains(target.entry.data_centre);
+           !target.holds_unknown() && at >= target.avoid_until && !m_drained.contains(target.entry.data_centre);
 }
 
 bool job_engine::within_cap(const std::string& team, const resources& need) const {
@@ -62,6 +62,11 @@
     if (!m_changed || at < m_pass_after)
         return;
     m_changed = false;
+    m_stray_tasks.clear();
+    for (const auto& [id, target] : m_targets) {
+        for (const auto& stray : target.strays)
+            m_stray_tasks.insert(stray.task);
+    }
     std::vector<ready_step> waiting;
     for (const auto& id : m_open) {
         auto& job = m_jobs.at(id);
@@ -95,6 +100,12 @@
     m_pass_after = waiting.size() > fruitless_most ? at + crowded_pass_spacing : at;
 }
 
+bool job_engine::is_stray(const ready_step& ready, std::size_t index) const {
+    return !m_stray_tasks.empty() &&
+           m_stray_tasks.contains(
+               {ready.job->spec.id(), ready.occurrence, ready.step, static_cast<int>(index)});
+}
+
 std::vector<target_state*> job_engine::candidates(instant at, const ready_step& ready) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
@@ -151,7 +162,7 @@
     }
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const auto& task = step.tasks[i];
-        if (task.done || !task.on.empty())
+        if (task.done || !task.on.empty() || is_stray(ready, i))
             continue;
         if (task.not_before > at) {
             m_changed = true;
@@ -194,8 +205,9 @@
     const auto need = need_of(spec);
     auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
     int last = 0;
-    for (const auto& task : step.tasks) {
-        if (!task.on.empty())
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const auto& task = step.tasks[i];
+        if (!task.on.empty() || is_stray(ready, i))
             return false; // a run of before is still on its way out
         if (task.not_before > at) {
             m_changed = true;
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -321,7 +321,8 @@
         return;
     stray_run stray{*name, run.run, {}, at};
     job_state* job = nullptr;
-    if (find_step(*name, &job) != nullptr)
+    stray.known = find_step(*name, &job) != nullptr;
+    if (stray.known)
         stray.held = need_of(job->spec.steps(name->step));
     target.strays.push_back(stray);
     m_stops = true;
@@ -334,7 +335,8 @@
     if (step == nullptr || job->phase != pb::job_progress::open || !job->doubtful || run.run > next_number(0) - 1)
         return false;
     auto& task = step->tasks[static_cast<std::size_t>(name.index)];
-    if (task.done || !task.on.empty() || !step->ready)
+    // Whether the step is ready isn't asked: the ends before it may stand in lists that weren't read yet.
+    if (task.done || !task.on.empty())
         return false;
     live_run adopted;
     adopted.task = name;
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -1,5 +1,7 @@
 #include "jobs/target_table.h"
 
+#include <algorithm>
+
 namespace medlarhub {
 
 namespace {
@@ -18,6 +20,10 @@
     return left;
 }
 
+bool target_state::holds_unknown() const {
+    return std::ranges::any_of(strays, [](const stray_run& stray) { return !stray.known; });
+}
+
 std::int64_t target_state::clock_at(instant at) const {
     return clock_ms + (at - clock_read).count();
 }
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -40,6 +40,7 @@
     int number = 0;
     resources held;
     instant next_stop{};
+    bool known = false; ///< its need is; until it is gone nothing is placed beside one of unknown need
 };
 
 /// What the owner knows of one target.
@@ -65,6 +66,7 @@
     instant avoid_until{};
 
     [[nodiscard]] resources free() const;
+    [[nodiscard]] bool holds_unknown() const;
     [[nodiscard]] std::int64_t clock_at(instant at) const;
     /// By this node's clock, when everything under the latest lease has surely ended there.
     [[nodiscard]] instant lapse() const;
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -68,6 +68,36 @@
     CHECK(world.owner().state("j") == pb::job_answer::completed);
 }
 
+TEST_CASE("a takeover in a later step takes its runs over though earlier ends come after", "[engine][recovery]") {
+    auto after = simple_step(3, 1000);
+    after.add_after(0);
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        job_world world{{.work = 600ms}, seed};
+        world.submit(simple_job("j", {simple_step(6, 1500), after}));
+        // As soon as the second step runs; the ends of the first aren't acknowledged everywhere.
+        while (starts_of(world, "j.0.1") < 3)
+            world.run_for(20ms);
+        world.forget_progress();
+        world.take_over();
+        world.run_for(4s);
+        CHECK(world.violation().empty());
+        CHECK(starts_of(world, "j.0.1") == 3);
+    }
+}
+
+TEST_CASE("nothing is placed beside a run that isn't known until it is gone", "[engine][recovery]") {
+    job_world world{{.targets = 1, .work = 10s}, 15};
+    world.submit(simple_job("old", {simple_step(1, 3000)}));
+    world.run_for(500ms);
+    world.forget_job("old");
+    world.take_over();
+    world.submit(simple_job("new", {simple_step(1, 3000)}));
+    world.run_for(2s);
+    CHECK(world.violation().empty());
+    CHECK(starts_of(world, "new") == 1);
+}
+
 TEST_CASE("a failure listed again after a takeover counts once", "[engine][recovery]") {
     job_world world{{}, 4};
     world.submit(simple_job("j", {simple_step(1, 1000)}));
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -93,6 +93,19 @@
     m_targets.at(target).restart(m_at);
 }
 
+void job_world::forget_progress() {
+    for (auto& [id, row] : m_progress) {
+        if (row.state() == pb::job_progress::open)
+            row.clear_occurrences();
+    }
+}
+
+void job_world::forget_job(const std::string& job) {
+    m_specs.erase(job);
+    m_progress.erase(job);
+    m_accepted.erase(job);
+}
+
 bool job_world::reachable(const std::string& target) const {
     const auto silent = m_silent.find(target);
     return silent == m_silent.end() || m_at >= silent->second;
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -35,6 +35,9 @@
     void take_over();
     void silence(const std::string& target, milliseconds time);
     void restart(const std::string& target);
+    /// The rows of progress are as they were at acceptance: nothing lazily written had been written.
+    void forget_progress();
+    void forget_job(const std::string& job);
     void fail_next(const std::string& task) { m_failing.insert(task); }
     /// Orders sent from now on are carried out this much later and not answered.
     void delay_orders(milliseconds late) { m_late = late; }
