--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -20,8 +20,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr milliseconds tick_period{25};
 constexpr milliseconds gossip_period{300};
+/// The node to which a partition falls next asks its owner this often whether it lives.
+constexpr milliseconds owner_probe_period{200};
+constexpr milliseconds owner_probe_timeout{400};
+/// How long a lost probe of an owner is a reason to look whether it still writes.
+constexpr milliseconds owner_doubt{1500};
 constexpr milliseconds ownership_period{100};
 constexpr milliseconds probe_timeout{500};
 constexpr milliseconds suspect_after{600};
@@ -57,6 +61,10 @@
     std::uint64_t epoch = 0;
 };
 
+std::string partition_name(int number) {
+    return "partition/" + std::to_string(number);
+}
+
 std::string node_of(const std::string& owner) {
     return owner.substr(0, owner.rfind('/'));
 }
@@ -459,6 +467,32 @@
         }
     }
 
+    /// Each partition's heir watches its owner, so that a death is noticed fast without all probing all.
+    void probe_owners() {
+        std::vector<std::pair<int, std::string>> probes;
+        {
+            const std::lock_guard lock{m_mutex};
+            for (const auto& [number, view] : m_owners) {
+                auto live = m_members.live();
+                std::erase(live, node_of(view.owner));
+                if (view.owner.empty() || m_owned.contains(number) ||
+                    rendezvous(live, partition_name(number)) != m_options.node)
+                    continue;
+                probes.emplace_back(number, view.address);
+            }
+        }
+        for (const auto& [number, address] : probes) {
+            m_peers.exchange(address, make_gossip(), owner_probe_timeout,
+                             [self = shared_from_this(), number](peer_delivery delivery,
+                                                                 const pb::gossip& reply) {
+                                 if (delivery == peer_delivery::answered)
+                                     return self->take_gossip(reply);
+                                 const std::lock_guard lock{self->m_mutex};
+                                 self->m_owner_doubts[number] = now();
+                             });
+        }
+    }
+
     bool shared_outage() const {
         const auto at = now();
         const std::lock_guard lock{m_mutex};
@@ -479,11 +513,16 @@
 
     void tick_loop() {
         instant next_gossip{};
+        instant next_owner_probe{};
         while (pause(tick_period)) {
             const auto at = now();
             for (const auto& [number, owned] : partitions())
                 owned->tick();
             send_delayed(at);
+            if (at >= next_owner_probe) {
+                next_owner_probe = at + owner_probe_period;
+                probe_owners();
+            }
             if (at >= next_gossip) {
                 next_gossip = at + gossip_period;
                 gossip_round();
@@ -529,8 +568,14 @@
                     continue;
                 const auto known = m_owners.find(number);
                 const bool owned = known != m_owners.end() && owner_lives(known->second.owner) &&
-                                   !m_members.suspected(node_of(known->second.owner));
-                if (owned || rendezvous(live, "partition/" + std::to_string(number)) != m_options.node)
+                                   !doubted(at, number, known->second.owner);
+                auto heirs = live;
+                if (known != m_owners.end())
+                    std::erase(heirs, node_of(known->second.owner));
+                if (heirs.empty())
+                    heirs = live;
+                const bool own_again = known != m_owners.end() && node_of(known->second.owner) == m_options.node;
+                if (owned || (rendezvous(heirs, partition_name(number)) != m_options.node && !own_again))
                     continue;
                 if (known == m_owners.end() && at - m_started < settle_after_start)
                     continue;
@@ -542,6 +587,12 @@
             look_and_take(number);
     }
 
+    bool doubted(instant at, int number, const std::string& owner) const {
+        const auto doubt = m_owner_doubts.find(number);
+        return m_members.suspected(node_of(owner)) ||
+               (doubt != m_owner_doubts.end() && at - doubt->second < owner_doubt);
+    }
+
     /// Whether the owner, a node in one incarnation, is alive as far as is known here.
     bool owner_lives(const std::string& owner) const {
         if (owner.empty())
@@ -565,7 +616,7 @@
         {
             const std::lock_guard lock{m_mutex};
             learn_owner(number, {head->owner(), head->peer_address(), head->epoch()});
-            if (owner_lives(head->owner()))
+            if (owner_lives(head->owner()) && !doubted(now(), number, head->owner()))
                 return;
             // Whoever writes lives, even if it was too busy to answer probes.
             auto& seen = m_heads[number];
@@ -710,7 +761,7 @@
         std::string address;
         {
             const std::lock_guard lock{m_mutex};
-            const auto heir = rendezvous(m_members.live(), "partition/" + std::to_string(number));
+            const auto heir = rendezvous(m_members.live(), partition_name(number));
             const auto member = m_members.find(heir);
             if (!member || heir == m_options.node)
                 return;
@@ -766,6 +817,7 @@
         std::uint64_t sequence = 0;
         instant at{};
     };
+    std::map<int, instant> m_owner_doubts; ///< when a probe of the owner was lost last
     std::map<int, head_view> m_heads; ///< of partitions whose owner may be dead
     std::map<std::string, instant> m_peer_table_heard;
     std::set<std::string> m_owned_names;
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/clocks.h"
 #include "cell/partition_rows.h"
+#include "jobs/overload_gate.h"
 #include "log.h"
 
 #include "medlarhub/reason.h"
@@ -35,6 +36,7 @@
 constexpr milliseconds answer_margin{30};
 constexpr milliseconds usual_retry{500};
 constexpr milliseconds outage_retry{1000};
+constexpr milliseconds longest_retry{5000};
 constexpr double lease_drift = 1.02;
 
 bool wanted_at_info(const std::string& event) {
@@ -139,6 +141,9 @@
                 stalled("the process stood still");
             if (!m_engine || m_status != partition_status::active)
                 return;
+            if (m_last_tick != instant{})
+                m_gate.observe(at, std::chrono::duration_cast<milliseconds>(at - m_last_tick) - tick_period);
+            m_last_tick = at;
             m_engine->tick(at);
             answer_late(at);
         });
@@ -296,12 +301,30 @@
             log_event(log_level::info, "job_refused", {{"request", id}, {"reason", "the table is out"}});
             return answer(done, make_job_answer(pb::job_answer::not_run, "the table is out", outage_retry));
         }
+        if (!m_engine->known(id) && refused_for_load(at, call.spec(), done))
+            return;
         const auto outcome = m_engine->accept(at, call.spec());
         if (outcome == accept_outcome::invalid)
             return answer(done, make_job_answer(pb::job_answer::invalid, *fault_of(call.spec()), 0ms));
         wait_durable(at, call, id, std::move(done));
     }
 
+    bool refused_for_load(instant at, const pb::job_spec& spec, const job_callback& done) {
+        int tasks = 0;
+        for (const auto& step : spec.steps())
+            tasks += step.count();
+        const auto wait = m_engine->hopeless_wait(at, spec);
+        if (!wait && m_gate.admit(at, spec.team(), tasks))
+            return false;
+        const auto* reason = wait ? "what waits before it takes too long" : "the owner is overloaded";
+        m_environment.counters->count("jobs_refused_total", {{"reason", wait ? "backlog" : "overload"}});
+        log_event(log_level::info, "job_refused",
+                  {{"request", spec.id()}, {"team", spec.team()}, {"reason", reason}});
+        answer(done, make_job_answer(pb::job_answer::not_run, reason,
+                                     wait ? std::min(*wait, longest_retry) : outage_retry));
+        return true;
+    }
+
     void cancel(instant at, const pb::job_call& call, job_callback done) {
         if (!m_engine->cancel(at, call.id()))
             return answer(done, make_job_answer(pb::job_answer::not_found, "no such job", 0ms));
@@ -524,6 +547,8 @@
     stall_guard m_guard;
     milliseconds m_confirmed{0}; ///< boot time
     bool m_confirm_needed = false;
+    overload_gate m_gate;
+    instant m_last_tick{};
     instant m_failing_since{};
     instant m_write_sent{}; ///< of a write that is under way
     std::atomic<bool> m_stopping{false};
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -13,6 +13,9 @@
 
 namespace medlarhub {
 
+/// How often the node calls `owned_partition::tick`.
+constexpr milliseconds tick_period{25};
+
 using job_callback = std::function<void(pb::job_answer)>;
 
 enum class partition_status { taking, active, releasing, closed };
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -257,10 +257,7 @@
         made.open -= step.open == 0 ? 1 : 0;
     }
     const auto queue = m_config->queues.find(job.queue);
-    const auto stretch = queue == m_config->queues.end() ? 1.0 : queue->second.stretch;
-    const auto goal = queue == m_config->queues.end() ? milliseconds{1000} : queue->second.latency_goal;
-    const milliseconds allowed{
-        static_cast<std::int64_t>(stretch * static_cast<double>(chain_of(spec).count())) + goal.count()};
+    const auto allowed = allowance_of(spec);
     made.turn.beyond_rate = job.beyond_rate;
     made.turn.priority = queue == m_config->queues.end() ? 0 : queue->second.priority;
     made.turn.due = at + allowed;
@@ -268,6 +265,31 @@
     set_ready(job, number);
 }
 
+milliseconds job_engine::allowance_of(const pb::job_spec& spec) const {
+    const auto queue = m_config->queues.find(spec.queue());
+    const auto stretch = queue == m_config->queues.end() ? 1.0 : queue->second.stretch;
+    const auto goal = queue == m_config->queues.end() ? milliseconds{1000} : queue->second.latency_goal;
+    return milliseconds{static_cast<std::int64_t>(stretch * static_cast<double>(chain_of(spec).count()))} + goal;
+}
+
+std::optional<milliseconds> job_engine::hopeless_wait(instant at, const pb::job_spec& spec) const {
+    const auto queue = m_config->queues.find(spec.queue());
+    if (queue == m_config->queues.end() || spec.times() > 0)
+        return {};
+    double ahead = 0;
+    for (const auto& [priority, work] : m_backlog)
+        ahead += priority <= queue->second.priority ? work : 0;
+    std::int64_t capacity = 0;
+    for (const auto& [id, target] : m_targets)
+        capacity += usable(at, target) ? target.entry.capacity.cpu_milli : 0;
+    if (capacity == 0)
+        return {}; // nothing is known of the targets yet
+    const milliseconds wait{static_cast<std::int64_t>(ahead / static_cast<double>(capacity))};
+    if (wait + chain_of(spec) <= hopeless_factor * allowance_of(spec))
+        return {};
+    return wait;
+}
+
 void job_engine::open_due_occurrences(instant at, job_state& job) {
     const auto& spec = job.spec;
     while (job.next_occurrence < spec.times()) {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -139,6 +139,8 @@
 
     // Callers.
     accept_outcome accept(instant at, pb::job_spec spec);
+    /// How long what waits takes, when that is so long that an end of this job would be worth nothing.
+    [[nodiscard]] std::optional<milliseconds> hopeless_wait(instant at, const pb::job_spec& spec) const;
     /// Takes a job back that was never handed out for writing, so that it surely never runs; false otherwise.
     bool withdraw(const std::string& job);
     /// False when there is no such job.
@@ -242,6 +244,7 @@
     job_state* find(const std::string& job);
     step_state* find_step(const task_name& name, job_state** job);
     void open_occurrence(instant at, job_state& job, int number, const pb::occurrence_progress* from);
+    [[nodiscard]] milliseconds allowance_of(const pb::job_spec& spec) const;
     void open_due_occurrences(instant at, job_state& job);
     void set_ready(job_state& job, int occurrence);
     void task_done(instant at, job_state& job, const task_name& name);
@@ -272,6 +275,7 @@
 
     // engine_schedule.cpp: who runs where.
     void schedule(instant at);
+    void count_backlog(instant at, const std::vector<ready_step>& waiting);
     enum class step_result { placed, no_room, over_cap };
     step_result schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
     bool place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
@@ -306,6 +310,7 @@
 
     std::vector<advice_question> m_questions;
     advice_lanes m_lanes;
+    std::map<int, double> m_backlog; ///< core-milliseconds that wait and can still be in time, by priority
     std::int64_t m_unasked_cpu_milli = 0; ///< room that no step before in the pass counts on
     std::map<std::string, task_name> m_asked_steps;
     std::vector<engine_event> m_events;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -86,6 +86,7 @@
             }
         }
     }
+    count_backlog(at, waiting);
     std::ranges::stable_sort(waiting, [&](const ready_step& left, const ready_step& right) {
         return goes_before(at, *left.turn, *right.turn);
     });
@@ -100,6 +101,19 @@
     m_pass_after = waiting.size() > fruitless_most ? at + crowded_pass_spacing : at;
 }
 
+void job_engine::count_backlog(instant at, const std::vector<ready_step>& waiting) {
+    m_backlog.clear();
+    for (const auto& ready : waiting) {
+        if (at > ready.turn->hopeless)
+            continue;
+        const auto& spec = ready.job->spec.steps(ready.step);
+        const auto& step =
+            ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+        const auto work = static_cast<double>(spec.need().cpu_milli()) * static_cast<double>(spec.estimate_ms());
+        m_backlog[ready.turn->priority] += work * static_cast<double>(step.open);
+    }
+}
+
 bool job_engine::is_stray(const ready_step& ready, std::size_t index) const {
     return !m_stray_tasks.empty() &&
            m_stray_tasks.contains(
--- /dev/null
+++ b/src/jobs/overload_gate.cpp
@@ -0,0 +1,61 @@
+#include "jobs/overload_gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarhub {
+
+namespace {
+
+constexpr std::chrono::duration<double> window{1.0};
+constexpr double smoothing = 0.2;
+constexpr double late_ms = 60;
+constexpr milliseconds change_period{200};
+constexpr double cut = 0.8;
+constexpr double growth = 1.1;
+constexpr double least_limit = 40;
+/// With room to this many times what is used the limit is lifted.
+constexpr double lifted_at = 3;
+/// A team counts as active with this many tasks in the window.
+constexpr double active_tasks = 1;
+
+} // namespace
+
+double overload_gate::decayed(instant at, usage& used) const {
+    const auto passed = std::chrono::duration<double>(at - used.at);
+    used.tasks *= std::exp(-std::max(passed / window, 0.0));
+    used.at = at;
+    return used.tasks;
+}
+
+void overload_gate::observe(instant at, milliseconds late) {
+    m_late_ms += smoothing * (static_cast<double>(std::max<std::int64_t>(late.count(), 0)) - m_late_ms);
+    if (at < m_next_change)
+        return;
+    m_next_change = at + change_period;
+    const auto used = decayed(at, m_total);
+    if (m_late_ms > late_ms)
+        m_limit = std::max(least_limit, cut * (m_limit > 0 ? std::min(m_limit, used) : used));
+    else if (m_limit > 0)
+        m_limit *= growth;
+    if (m_limit > lifted_at * std::max(used, least_limit))
+        m_limit = 0;
+}
+
+bool overload_gate::admit(instant at, const std::string& team, int tasks) {
+    auto& own = m_teams[team];
+    const auto total = decayed(at, m_total);
+    if (m_limit > 0 && total + tasks > m_limit) {
+        const auto active = std::ranges::count_if(
+            m_teams, [&](auto& entry) { return decayed(at, entry.second) >= active_tasks; });
+        const auto part = m_limit / static_cast<double>(std::max<std::ptrdiff_t>(active, 1));
+        if (decayed(at, own) + tasks > part)
+            return false;
+    }
+    m_total.tasks += tasks;
+    decayed(at, own);
+    own.tasks += tasks;
+    return true;
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/jobs/overload_gate.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "medlarhub/time.h"
+
+#include <map>
+#include <string>
+
+namespace medlarhub {
+
+/// Answers more work than the owner's processor can follow, mostly from one team at many times its usual: the
+/// rate of accepted tasks is cut until the owner keeps up, and the teams that send most are refused first.
+class overload_gate {
+public:
+    /// Tells how far a periodic tick came late; called with each tick.
+    void observe(instant at, milliseconds late);
+    /// Counts the tasks of a new job; false when it is to be refused.
+    [[nodiscard]] bool admit(instant at, const std::string& team, int tasks);
+    /// Whether anything is refused now.
+    [[nodiscard]] bool limiting() const { return m_limit > 0; }
+
+private:
+    struct usage {
+        double tasks = 0; ///< decayed over the window
+        instant at{};
+    };
+
+    double decayed(instant at, usage& used) const;
+
+    double m_limit = 0; ///< tasks in a window; 0 is no limit
+    double m_late_ms = 0;
+    instant m_next_change{};
+    usage m_total;
+    std::map<std::string, usage> m_teams;
+};
+
+} // namespace medlarhub
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -1,6 +1,7 @@
 #include "job_world.h"
 
 #include "jobs/advice_lanes.h"
+#include "jobs/overload_gate.h"
 #include "jobs/waiting_order.h"
 
 #include <catch2/catch.hpp>
@@ -302,6 +303,55 @@
     CHECK(taken == 59); // 2 s of its rate at once, then 5 a second for 9.99 s
 }
 
+TEST_CASE("an overloaded owner refuses the team that sends most, and none when it keeps up", "[gate][load]") {
+    overload_gate gate;
+    std::map<std::string, int> sent;
+    std::map<std::string, int> admitted;
+    double queue = 0;
+    double longest = 0;
+    constexpr double tasks_per_ms = 0.3; // what the owner can follow
+    for (int ms = 0; ms < 12'000; ms += 5) {
+        const auto at = start + milliseconds{ms};
+        queue = std::max(0.0, queue - 5 * tasks_per_ms);
+        longest = std::max(longest, queue / tasks_per_ms);
+        if (ms % 25 == 0)
+            gate.observe(at, milliseconds{static_cast<int>(queue / tasks_per_ms)});
+        if (ms < 2000 || ms >= 8000)
+            continue;
+        const auto* team = ms % 50 == 0 ? "quiet" : "hot"; // 40 and 360 tasks a second
+        ++sent[team];
+        if (!gate.admit(at, team, 2))
+            continue;
+        ++admitted[team];
+        queue += 2;
+    }
+    CHECK(longest < 1500);
+    CHECK(admitted["hot"] > sent["hot"] / 3);
+    CHECK(admitted["quiet"] == sent["quiet"]);
+    CHECK_FALSE(gate.limiting());
+    CHECK(gate.admit(start + 13s, "hot", 1000));
+}
+
+TEST_CASE("a job that could only end too late is refused, others are not", "[engine][load]") {
+    job_world world{{.targets = 1, .work = 10s}, 16};
+    world.set_config([](cell_config& config) {
+        config.queues["checks"].latency_goal = 1s;
+        config.queues["checks"].priority = 1;
+        config.queues["urgent"] = config.queues["checks"];
+        config.queues["urgent"].priority = 0;
+    });
+    auto step = simple_step(4, 1000);
+    step.set_estimate_ms(10'000);
+    CHECK_FALSE(world.owner().hopeless_wait(world.at(), simple_job("n", {step})));
+    for (int i = 0; i < 12; ++i)
+        world.submit(simple_job("j" + std::to_string(i), {step}));
+    world.run_for(200ms);
+    CHECK(world.owner().hopeless_wait(world.at(), simple_job("n", {step})));
+    auto urgent = simple_job("u", {step});
+    urgent.set_queue("urgent");
+    CHECK_FALSE(world.owner().hopeless_wait(world.at(), urgent));
+}
+
 TEST_CASE("a pile of questions is asked one ahead of each node, long ones apart", "[advice][load]") {
     advice_lanes lanes;
     lanes.set_nodes({"a", "b", "c", "d"});
