Send calls to a former owner on at once, and batch questions to an owner

Cause: under a hot tenant most calls forwarded from other nodes ended as 504 (log: 821 of 1,091 answers) while the owner answered its own callers: a message that timed out after 0.8 s was sent again whole, which multiplied the load; and each waiting job is asked after every 2 to 3 s. Ruled out: the engine (a pass over 900 waiting jobs takes 0.11 ms) and the table (under 60 writes a second). Change: calls wait for their answer until a later owner is known and then move to it; questions share one message at a time for each owner; overload is read from the round trip of starts, not from ticks; a load line each second.

--- /dev/null
+++ b/src/cell/call_batcher.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "cell/owned_partition.h"
+#include "peers/delivery.h"
+
+#include "jobs.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace medlarhub {
+
+/// Puts calls to the same owner into one message while earlier ones are under way, so that an owner that falls
+/// behind is asked in fewer and larger messages. Answers load that grows with what waits: clients ask after
+/// every job that hasn't ended. Safe from any thread.
+class call_batcher : public std::enable_shared_from_this<call_batcher> {
+public:
+    using callback = std::function<void(peer_delivery, const pb::job_answer&)>;
+    using sender = std::function<void(const std::string& address, const pb::job_calls& calls,
+                                      milliseconds timeout, peer_callback<pb::job_answers> done)>;
+
+    /// At most `most_under_way` messages are out to an owner at a time.
+    call_batcher(sender send, int most_under_way);
+
+    void add(const std::string& address, pb::job_call call, callback done);
+
+private:
+    struct waiting_call {
+        pb::job_call call;
+        callback done;
+    };
+    struct lane {
+        std::vector<waiting_call> waiting;
+        int under_way = 0;
+    };
+
+    void send_next(const std::string& address);
+
+    sender m_send;
+    int m_most_under_way;
+    std::mutex m_mutex;
+    std::map<std::string, lane> m_lanes; ///< by address
+};
+
+} // namespace medlarhub
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -1,5 +1,6 @@
 #include "cell/cell_node.h"
 
+#include "cell/call_batcher.h"
 #include "cell/partition_rows.h"
 #include "log.h"
 #include "peers/cell_peers.h"
@@ -39,8 +40,8 @@
 /// Between reads of changes of the targets' entries, which come many a second.
 constexpr milliseconds targets_pause{200};
 constexpr milliseconds reroute_wait{40};
-/// A forwarded call without an answer for this long is sent again: the owner may be gone.
-constexpr milliseconds forward_timeout{800};
+/// Messages with calls that change something which are out to one owner at a time.
+constexpr int changes_under_way = 64;
 /// An owner that is said to be dead has its partition taken only if its head row stood still this long.
 constexpr milliseconds head_still{350};
 constexpr milliseconds usual_retry{500};
@@ -84,6 +85,12 @@
 
     std::optional<std::string> start() {
         m_started = now();
+        const auto send = [this](const std::string& address, const pb::job_calls& calls,
+                                 milliseconds timeout, peer_callback<pb::job_answers> done) {
+            m_peers.jobs(address, calls, timeout, std::move(done));
+        };
+        m_questions = std::make_shared<call_batcher>(send, 1);
+        m_changes = std::make_shared<call_batcher>(send, changes_under_way);
         if (!m_peers.start(m_options.peer_address))
             return {};
         loop([this] { follow_declarations(); });
@@ -142,6 +149,7 @@
         instant deadline{};
         instant search_until{}; ///< while it has surely reached no owner
         bool maybe_recorded = false;
+        int attempt = 0; ///< answers of earlier attempts are ignored
     };
 
     void call(pb::job_call call, job_callback done) {
@@ -173,8 +181,23 @@
             return later(routed);
         auto call = routed->call;
         call.set_timeout_ms(left.count());
-        m_peers.job(address, call, std::min(left, forward_timeout),
-                    [self = shared_from_this(), routed](peer_delivery delivery, const pb::job_answer& answer) {
+        const bool asks = call.what() == pb::job_call::state || call.what() == pb::job_call::count_pending;
+        auto& batcher = asks ? m_questions : m_changes;
+        int attempt = 0;
+        {
+            const std::lock_guard lock{m_mutex};
+            attempt = ++routed->attempt;
+            m_forwarded[number].insert(routed);
+        }
+        batcher->add(address, std::move(call),
+                    [self = shared_from_this(), routed, number, attempt](peer_delivery delivery,
+                                                                         const pb::job_answer& answer) {
+                        {
+                            const std::lock_guard lock{self->m_mutex};
+                            if (routed->attempt != attempt)
+                                return;
+                            self->m_forwarded[number].erase(routed);
+                        }
                         if (delivery == peer_delivery::answered)
                             return self->routed_answer(routed, answer);
                         if (delivery == peer_delivery::lost)
@@ -218,11 +241,34 @@
         return make_gossip();
     }
 
-    void on_job(const pb::job_call& call, std::function<void(pb::job_answer)> done) override {
-        const auto local = find(call.partition());
-        if (!local)
-            return done(make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
-        local->call(call, std::move(done));
+    /// Answers once all of the calls are answered.
+    void on_jobs(const pb::job_calls& calls, std::function<void(pb::job_answers)> done) override {
+        struct collected {
+            std::mutex mutex;
+            pb::job_answers answers;
+            int missing = 0;
+        };
+        const auto all = std::make_shared<collected>();
+        all->missing = calls.calls_size();
+        for (int i = 0; i < calls.calls_size(); ++i)
+            all->answers.add_answers();
+        if (all->missing == 0)
+            return done({});
+        for (int i = 0; i < calls.calls_size(); ++i) {
+            const auto take = [all, i, done](const pb::job_answer& answer) {
+                {
+                    const std::lock_guard lock{all->mutex};
+                    *all->answers.mutable_answers(i) = answer;
+                    if (--all->missing > 0)
+                        return;
+                }
+                done(std::move(all->answers));
+            };
+            if (const auto local = find(calls.calls(i).partition()))
+                local->call(calls.calls(i), take);
+            else
+                take(make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
+        }
     }
 
     void on_advise(const pb::advice_call& call, std::function<void(pb::advice_answer)> done) override {
@@ -434,8 +480,15 @@
 
     void learn_owner(int number, const owner_view& view) {
         auto& known = m_owners[number];
-        if (view.epoch > known.epoch)
-            known = view;
+        if (view.epoch <= known.epoch)
+            return;
+        known = view;
+        // What the owner before was asked goes to the new one at once; the calls are idempotent.
+        for (const auto& routed : std::exchange(m_forwarded[number], {})) {
+            ++routed->attempt;
+            routed->maybe_recorded = true;
+            m_delayed.emplace(instant{}, routed);
+        }
     }
 
     void greet(const std::string& address) {
@@ -806,6 +859,8 @@
     cell_options m_options;
     cell_ports m_ports;
     cell_peers m_peers;
+    std::shared_ptr<call_batcher> m_questions;
+    std::shared_ptr<call_batcher> m_changes;
     std::uint64_t m_incarnation;
     instant m_started{};
 
@@ -825,6 +880,7 @@
     declarations m_declared;
     std::vector<target_entry> m_targets;
     bool m_targets_known = false;
+    std::map<int, std::set<std::shared_ptr<routed_call>>> m_forwarded; ///< by partition, without an answer yet
     std::multimap<instant, std::shared_ptr<routed_call>> m_delayed;
 
     instant m_next_heir{}; ///< used by the ownership thread only
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -37,6 +37,7 @@
 constexpr milliseconds usual_retry{500};
 constexpr milliseconds outage_retry{1000};
 constexpr milliseconds longest_retry{5000};
+constexpr milliseconds report_period{1000};
 constexpr double lease_drift = 1.02;
 
 bool wanted_at_info(const std::string& event) {
@@ -141,11 +142,12 @@
                 stalled("the process stood still");
             if (!m_engine || m_status != partition_status::active)
                 return;
-            if (m_last_tick != instant{})
-                m_gate.observe(at, std::chrono::duration_cast<milliseconds>(at - m_last_tick) - tick_period);
-            m_last_tick = at;
             m_engine->tick(at);
             answer_late(at);
+            if (at >= m_next_report) {
+                m_next_report = at + report_period;
+                report();
+            }
         });
     }
 
@@ -256,9 +258,13 @@
 
     void send(const target_order& order) {
         m_environment.counters->count(order.kind == order_kind::start ? "starts_total" : "stops_total");
+        const auto sent = now();
         m_environment.orders->send(order, order_timeout,
-                                   [self = shared_from_this(), order](order_outcome outcome) {
+                                   [self = shared_from_this(), order, sent](order_outcome outcome) {
                                        self->locked([&](instant at) {
+                                           // Targets answer at once, so a slow answer waited here.
+                                           if (outcome == order_outcome::done)
+                                               self->m_gate.observe(at, at - sent);
                                            if (self->m_engine)
                                                self->m_engine->answered(at, order, outcome, 0);
                                        });
@@ -337,6 +343,26 @@
         m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin});
     }
 
+    void report() {
+        const auto now_held = m_engine->count();
+        const auto text = [](auto number) { return std::to_string(number); };
+        log_event(log_level::info, "partition_load",
+                  {{"partition", text(m_options.number)},
+                   {"epoch", text(m_epoch)},
+                   {"open_jobs", text(now_held.open_jobs)},
+                   {"kept_jobs", text(now_held.kept_jobs)},
+                   {"waiting_tasks", text(now_held.waiting_tasks)},
+                   {"live_runs", text(now_held.live_runs)},
+                   {"held_cpu_milli", text(now_held.held_cpu_milli)},
+                   {"capacity_cpu_milli", text(now_held.capacity_cpu_milli)},
+                   {"round_trip_ms", text(m_gate.late().count())},
+                   {"limiting", m_gate.limiting() ? "true" : "false"},
+                   {"callers", text(m_waiters.size())}});
+        m_environment.counters->set("open_jobs", static_cast<double>(now_held.open_jobs));
+        m_environment.counters->set("waiting_tasks", static_cast<double>(now_held.waiting_tasks));
+        m_environment.counters->set("held_cores", static_cast<double>(now_held.held_cpu_milli) / 1000);
+    }
+
     void answer_durable() {
         std::erase_if(m_waiters, [&](const waiter& waiting) {
             if (!m_engine->durable(waiting.job))
@@ -548,7 +574,7 @@
     milliseconds m_confirmed{0}; ///< boot time
     bool m_confirm_needed = false;
     overload_gate m_gate;
-    instant m_last_tick{};
+    instant m_next_report{};
     instant m_failing_since{};
     instant m_write_sent{}; ///< of a write that is under way
     std::atomic<bool> m_stopping{false};
--- a/src/jobs/overload_gate.cpp
+++ b/src/jobs/overload_gate.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr std::chrono::duration<double> window{1.0};
-constexpr double smoothing = 0.2;
-constexpr double late_ms = 60;
+constexpr double smoothing = 0.05;
+constexpr double late_ms = 100;
+/// One slow answer counts no more than this.
+constexpr double longest_ms = 400;
 constexpr milliseconds change_period{200};
 constexpr double cut = 0.8;
 constexpr double growth = 1.1;
@@ -28,13 +30,14 @@
     return used.tasks;
 }
 
-void overload_gate::observe(instant at, milliseconds late) {
-    m_late_ms += smoothing * (static_cast<double>(std::max<std::int64_t>(late.count(), 0)) - m_late_ms);
+void overload_gate::observe(instant at, milliseconds took) {
+    const auto ms = std::clamp(static_cast<double>(took.count()), 0.0, longest_ms);
+    m_took_ms += smoothing * (ms - m_took_ms);
     if (at < m_next_change)
         return;
     m_next_change = at + change_period;
     const auto used = decayed(at, m_total);
-    if (m_late_ms > late_ms)
+    if (m_took_ms > late_ms)
         m_limit = std::max(least_limit, cut * (m_limit > 0 ? std::min(m_limit, used) : used));
     else if (m_limit > 0)
         m_limit *= growth;
--- a/src/jobs/overload_gate.h
+++ b/src/jobs/overload_gate.h
@@ -11,10 +11,12 @@
 /// rate of accepted tasks is cut until the owner keeps up, and the teams that send most are refused first.
 class overload_gate {
 public:
-    /// Tells how far a periodic tick came late; called with each tick.
-    void observe(instant at, milliseconds late);
+    /// Tells how long a call took whose other side answers at once.
+    void observe(instant at, milliseconds took);
     /// Counts the tasks of a new job; false when it is to be refused.
     [[nodiscard]] bool admit(instant at, const std::string& team, int tasks);
+    /// How long those calls take, smoothed.
+    [[nodiscard]] milliseconds late() const { return milliseconds{static_cast<std::int64_t>(m_took_ms)}; }
     /// Whether anything is refused now.
     [[nodiscard]] bool limiting() const { return m_limit > 0; }
 
@@ -27,7 +29,7 @@
     double decayed(instant at, usage& used) const;
 
     double m_limit = 0; ///< tasks in a window; 0 is no limit
-    double m_late_ms = 0;
+    double m_took_ms = 0;
     instant m_next_change{};
     usage m_total;
     std::map<std::string, usage> m_teams;
--- a/src/peers/cell_peers.cpp
+++ b/src/peers/cell_peers.cpp
@@ -31,10 +31,10 @@
         return reactor;
     }
 
-    ServerUnaryReactor* job(CallbackServerContext* context, const pb::job_call* request,
-                            pb::job_answer* reply) override {
+    ServerUnaryReactor* jobs(CallbackServerContext* context, const pb::job_calls* request,
+                             pb::job_answers* reply) override {
         auto* reactor = context->DefaultReactor();
-        m_handler.on_job(*request, finish_later(reactor, reply));
+        m_handler.on_jobs(*request, finish_later(reactor, reply));
         return reactor;
     }
 
@@ -91,10 +91,10 @@
                                          &pb::cell::Stub::async::exchange);
 }
 
-void cell_peers::job(const std::string& address, const pb::job_call& call, milliseconds timeout,
-                     peer_callback<pb::job_answer> done) {
-    m_impl->call<pb::job_call, pb::job_answer>(address, call, timeout, std::move(done),
-                                               &pb::cell::Stub::async::job);
+void cell_peers::jobs(const std::string& address, const pb::job_calls& calls, milliseconds timeout,
+                      peer_callback<pb::job_answers> done) {
+    m_impl->call<pb::job_calls, pb::job_answers>(address, calls, timeout, std::move(done),
+                                                 &pb::cell::Stub::async::jobs);
 }
 
 void cell_peers::advise(const std::string& address, const pb::advice_call& call, milliseconds timeout,
--- a/src/peers/cell_peers.h
+++ b/src/peers/cell_peers.h
@@ -22,7 +22,7 @@
     virtual ~cell_handler() = default;
 
     virtual pb::gossip on_exchange(const pb::gossip& message) = 0;
-    virtual void on_job(const pb::job_call& call, std::function<void(pb::job_answer)> done) = 0;
+    virtual void on_jobs(const pb::job_calls& calls, std::function<void(pb::job_answers)> done) = 0;
     virtual void on_advise(const pb::advice_call& call, std::function<void(pb::advice_answer)> done) = 0;
     virtual pb::take_reply on_take(const pb::take_request& request) = 0;
 };
@@ -41,8 +41,8 @@
 
     void exchange(const std::string& address, const pb::gossip& message, milliseconds timeout,
                   peer_callback<pb::gossip> done);
-    void job(const std::string& address, const pb::job_call& call, milliseconds timeout,
-             peer_callback<pb::job_answer> done);
+    void jobs(const std::string& address, const pb::job_calls& calls, milliseconds timeout,
+              peer_callback<pb::job_answers> done);
     void advise(const std::string& address, const pb::advice_call& call, milliseconds timeout,
                 peer_callback<pb::advice_answer> done);
     void take(const std::string& address, const pb::take_request& request, milliseconds timeout,
