--- a/src/cell/call_batcher.cpp
+++ b/src/cell/call_batcher.cpp
@@ -40,19 +40,20 @@
         *calls.add_calls() = each.call;
         timeout = std::max(timeout, milliseconds{each.call.timeout_ms()});
     }
-    m_send(address, calls, timeout,
-           [self = shared_from_this(), address, sent](peer_delivery delivery, const pb::job_answers& answers) {
-               {
-                   const std::lock_guard lock{self->m_mutex};
-                   --self->m_lanes[address].under_way;
-               }
-               self->send_next(address);
-               const bool whole = answers.answers_size() == static_cast<int>(sent->size());
-               if (delivery == peer_delivery::answered && !whole)
-                   delivery = peer_delivery::lost;
-               for (std::size_t i = 0; i < sent->size(); ++i)
-                   (*sent)[i].done(delivery, whole ? answers.answers(static_cast<int>(i)) : pb::job_answer{});
-           });
+    m_send(
+        address, calls, timeout,
+        [self = shared_from_this(), address, sent](peer_delivery delivery, const pb::job_answers& answers) {
+            {
+                const std::lock_guard lock{self->m_mutex};
+                --self->m_lanes[address].under_way;
+            }
+            self->send_next(address);
+            const bool whole = answers.answers_size() == static_cast<int>(sent->size());
+            if (delivery == peer_delivery::answered && !whole)
+                delivery = peer_delivery::lost;
+            for (std::size_t i = 0; i < sent->size(); ++i)
+                (*sent)[i].done(delivery, whole ? answers.answers(static_cast<int>(i)) : pb::job_answer{});
+        });
 }
 
 } // namespace medlarhub
--- a/src/cell/call_batcher.h
+++ b/src/cell/call_batcher.h
@@ -14,9 +14,9 @@
 
 namespace medlarhub {
 
-/// Puts calls to the same owner into one message while earlier ones are under way, so that an owner that falls
-/// behind is asked in fewer and larger messages. Answers load that grows with what waits: clients ask after
-/// every job that hasn't ended. Safe from any thread.
+/// Puts calls to the same owner into one message while earlier ones are under way, so that an owner that
+/// falls behind is asked in fewer and larger messages. Answers load that grows with what waits: clients ask
+/// after every job that hasn't ended. Safe from any thread.
 class call_batcher : public std::enable_shared_from_this<call_batcher> {
 public:
     using callback = std::function<void(peer_delivery, const pb::job_answer&)>;
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -80,13 +80,14 @@
 public:
     impl(cell_options options, cell_ports ports)
         : m_options{std::move(options)}, m_ports{std::move(ports)}, m_peers{*this},
-          m_incarnation{static_cast<std::uint64_t>(to_ms(now()))},
-          m_members{make_self(), {.suspect_after = suspect_after}, random_bits()} {}
+          m_incarnation{static_cast<std::uint64_t>(to_ms(now()))}, m_members{make_self(),
+                                                                             {.suspect_after = suspect_after},
+                                                                             random_bits()} {}
 
     std::optional<std::string> start() {
         m_started = now();
-        const auto send = [this](const std::string& address, const pb::job_calls& calls,
-                                 milliseconds timeout, peer_callback<pb::job_answers> done) {
+        const auto send = [this](const std::string& address, const pb::job_calls& calls, milliseconds timeout,
+                                 peer_callback<pb::job_answers> done) {
             m_peers.jobs(address, calls, timeout, std::move(done));
         };
         m_questions = std::make_shared<call_batcher>(send, 1);
@@ -190,20 +191,20 @@
             m_forwarded[number].insert(routed);
         }
         batcher->add(address, std::move(call),
-                    [self = shared_from_this(), routed, number, attempt](peer_delivery delivery,
-                                                                         const pb::job_answer& answer) {
-                        {
-                            const std::lock_guard lock{self->m_mutex};
-                            if (routed->attempt != attempt)
-                                return;
-                            self->m_forwarded[number].erase(routed);
-                        }
-                        if (delivery == peer_delivery::answered)
-                            return self->routed_answer(routed, answer);
-                        if (delivery == peer_delivery::lost)
-                            routed->maybe_recorded = true;
-                        self->later(routed);
-                    });
+                     [self = shared_from_this(), routed, number, attempt](peer_delivery delivery,
+                                                                          const pb::job_answer& answer) {
+                         {
+                             const std::lock_guard lock{self->m_mutex};
+                             if (routed->attempt != attempt)
+                                 return;
+                             self->m_forwarded[number].erase(routed);
+                         }
+                         if (delivery == peer_delivery::answered)
+                             return self->routed_answer(routed, answer);
+                         if (delivery == peer_delivery::lost)
+                             routed->maybe_recorded = true;
+                         self->later(routed);
+                     });
     }
 
     void routed_answer(const std::shared_ptr<routed_call>& routed, const pb::job_answer& answer) {
@@ -226,9 +227,9 @@
     void give_up(const std::shared_ptr<routed_call>& routed) {
         const bool submit = routed->call.what() == pb::job_call::submit;
         m_counters.count("calls_given_up_total");
-        log_event(log_level::info, "call_given_up",
-                  {{"request", routed->call.id()},
-                   {"maybe_recorded", routed->maybe_recorded ? "true" : "false"}});
+        log_event(
+            log_level::info, "call_given_up",
+            {{"request", routed->call.id()}, {"maybe_recorded", routed->maybe_recorded ? "true" : "false"}});
         routed->done(make_job_answer(submit && !routed->maybe_recorded ? pb::job_answer::not_run
                                                                        : pb::job_answer::unknown,
                                      "the owner was not reached in time", usual_retry));
@@ -509,14 +510,14 @@
             probes = m_members.next_probes(probes_a_round);
         }
         for (const auto& member : probes) {
-            m_peers.exchange(member.peer_address(), make_gossip(), probe_timeout,
-                             [self = shared_from_this(), member](peer_delivery delivery,
-                                                                 const pb::gossip& reply) {
-                                 if (delivery == peer_delivery::answered)
-                                     return self->take_gossip(reply);
-                                 const std::lock_guard lock{self->m_mutex};
-                                 self->m_members.probe_failed(now(), member.id());
-                             });
+            m_peers.exchange(
+                member.peer_address(), make_gossip(), probe_timeout,
+                [self = shared_from_this(), member](peer_delivery delivery, const pb::gossip& reply) {
+                    if (delivery == peer_delivery::answered)
+                        return self->take_gossip(reply);
+                    const std::lock_guard lock{self->m_mutex};
+                    self->m_members.probe_failed(now(), member.id());
+                });
         }
     }
 
@@ -536,8 +537,8 @@
         }
         for (const auto& [number, address] : probes) {
             m_peers.exchange(address, make_gossip(), owner_probe_timeout,
-                             [self = shared_from_this(), number](peer_delivery delivery,
-                                                                 const pb::gossip& reply) {
+                             [self = shared_from_this(), number = number](peer_delivery delivery,
+                                                                          const pb::gossip& reply) {
                                  if (delivery == peer_delivery::answered)
                                      return self->take_gossip(reply);
                                  const std::lock_guard lock{self->m_mutex};
@@ -627,7 +628,8 @@
                     std::erase(heirs, node_of(known->second.owner));
                 if (heirs.empty())
                     heirs = live;
-                const bool own_again = known != m_owners.end() && node_of(known->second.owner) == m_options.node;
+                const bool own_again =
+                    known != m_owners.end() && node_of(known->second.owner) == m_options.node;
                 if (owned || (rendezvous(heirs, partition_name(number)) != m_options.node && !own_again))
                     continue;
                 if (known == m_owners.end() && at - m_started < settle_after_start)
@@ -694,7 +696,9 @@
         environment.rows = m_ports.rows.get();
         environment.orders = m_ports.orders.get();
         environment.counters = &m_counters;
-        environment.ask = [this](const advice_question& question, auto done) { ask(question, std::move(done)); };
+        environment.ask = [this](const advice_question& question, auto done) {
+            ask(question, std::move(done));
+        };
         environment.shared_outage = [this] { return shared_outage(); };
         const auto owned = std::make_shared<owned_partition>(std::move(options), std::move(environment));
         declarations declared;
@@ -783,7 +787,8 @@
                 instant latest = std::max(m_table_heard.load(), at - table_heard);
                 for (const auto& node : m_members.live()) {
                     const auto heard = m_peer_table_heard.find(node);
-                    if (node == m_options.node || heard == m_peer_table_heard.end() || heard->second <= latest)
+                    if (node == m_options.node || heard == m_peer_table_heard.end() ||
+                        heard->second <= latest)
                         continue;
                     latest = heard->second;
                     heir = node;
@@ -792,8 +797,7 @@
             }
             if (heir.empty())
                 continue;
-            log_event(log_level::info, "heir_asked",
-                      {{"partition", std::to_string(number)}, {"heir", heir}});
+            log_event(log_level::info, "heir_asked", {{"partition", std::to_string(number)}, {"heir", heir}});
             pb::take_request request;
             request.set_partition(number);
             m_peers.take(address, request, take_timeout, [](peer_delivery, const pb::take_reply&) {});
@@ -873,14 +877,15 @@
         instant at{};
     };
     std::map<int, instant> m_owner_doubts; ///< when a probe of the owner was lost last
-    std::map<int, head_view> m_heads; ///< of partitions whose owner may be dead
+    std::map<int, head_view> m_heads;      ///< of partitions whose owner may be dead
     std::map<std::string, instant> m_peer_table_heard;
     std::set<std::string> m_owned_names;
     owned_map m_owned;
     declarations m_declared;
     std::vector<target_entry> m_targets;
     bool m_targets_known = false;
-    std::map<int, std::set<std::shared_ptr<routed_call>>> m_forwarded; ///< by partition, without an answer yet
+    std::map<int, std::set<std::shared_ptr<routed_call>>>
+        m_forwarded; ///< by partition, without an answer yet
     std::multimap<instant, std::shared_ptr<routed_call>> m_delayed;
 
     instant m_next_heir{}; ///< used by the ownership thread only
--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -16,8 +16,8 @@
 struct cell_options {
     std::string node;
     std::string data_centre;
-    std::string peer_address;        ///< `ip:port` for other nodes
-    std::vector<std::string> seeds;  ///< peer addresses of some other nodes; they may be stale
+    std::string peer_address;       ///< `ip:port` for other nodes
+    std::vector<std::string> seeds; ///< peer addresses of some other nodes; they may be stale
     int partitions = 1;
     milliseconds lease{4500};
 };
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -299,7 +299,9 @@
 
     // ---- Callers ----
 
-    bool table_out(instant at) const { return m_failing_since != instant{} && at - m_failing_since > table_out_after; }
+    bool table_out(instant at) const {
+        return m_failing_since != instant{} && at - m_failing_since > table_out_after;
+    }
 
     void submit(instant at, const pb::job_call& call, job_callback done) {
         const auto& id = call.spec().id();
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -38,8 +38,8 @@
     std::function<bool()> shared_outage;
 };
 
-/// A partition that this node owns or is about to: the engine with its table rows, its targets and the callers
-/// that wait. Safe from any thread.
+/// A partition that this node owns or is about to: the engine with its table rows, its targets and the
+/// callers that wait. Safe from any thread.
 class owned_partition {
 public:
     owned_partition(owned_partition_options options, partition_environment environment);
--- a/src/jobs/advice_book.h
+++ b/src/jobs/advice_book.h
@@ -34,8 +34,8 @@
     [[nodiscard]] bool due(instant at) const { return !m_asked && at >= m_next; }
 
     void ask();
-    void answered(instant at, const std::vector<std::string>& targets,
-                  const std::vector<advice_ticket>& good, milliseconds valid);
+    void answered(instant at, const std::vector<std::string>& targets, const std::vector<advice_ticket>& good,
+                  milliseconds valid);
     void failed(instant at);
     /// The target refused the ticket.
     void refused(const std::string& target);
--- a/src/jobs/advice_lanes.h
+++ b/src/jobs/advice_lanes.h
@@ -22,7 +22,7 @@
     void failed(instant at, const std::string& node);
 
 private:
-    std::vector<std::string> m_nodes; ///< sorted
+    std::vector<std::string> m_nodes;         ///< sorted
     std::map<std::string, instant> m_free_at; ///< by node, as estimated
 };
 
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -269,7 +269,8 @@
     const auto queue = m_config->queues.find(spec.queue());
     const auto stretch = queue == m_config->queues.end() ? 1.0 : queue->second.stretch;
     const auto goal = queue == m_config->queues.end() ? milliseconds{1000} : queue->second.latency_goal;
-    return milliseconds{static_cast<std::int64_t>(stretch * static_cast<double>(chain_of(spec).count()))} + goal;
+    return milliseconds{static_cast<std::int64_t>(stretch * static_cast<double>(chain_of(spec).count()))} +
+           goal;
 }
 
 std::optional<milliseconds> job_engine::hopeless_wait(instant at, const pb::job_spec& spec) const {
@@ -307,9 +308,8 @@
     auto& steps = job.occurrences.at(occurrence).steps;
     for (std::size_t i = 0; i < steps.size(); ++i) {
         const auto& after = job.spec.steps(static_cast<int>(i)).after();
-        steps[i].ready = std::ranges::all_of(after, [&](int earlier) {
-            return steps[static_cast<std::size_t>(earlier)].open == 0;
-        });
+        steps[i].ready = std::ranges::all_of(
+            after, [&](int earlier) { return steps[static_cast<std::size_t>(earlier)].open == 0; });
     }
 }
 
@@ -330,8 +330,7 @@
 }
 
 void job_engine::task_done(instant at, job_state& job, const task_name& name) {
-    auto& step =
-        job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
     auto& task = step.tasks[static_cast<std::size_t>(name.index)];
     if (task.done)
         return;
@@ -431,7 +430,8 @@
         to.set_number(number);
         for (const auto& step : occurrence.steps) {
             auto& step_row = *to.add_steps();
-            step_row.mutable_gang_failed_runs()->Assign(step.gang_failed_runs.begin(), step.gang_failed_runs.end());
+            step_row.mutable_gang_failed_runs()->Assign(step.gang_failed_runs.begin(),
+                                                        step.gang_failed_runs.end());
             step_row.set_gang_saved(step.gang_saved);
             for (const auto& task : step.tasks) {
                 auto& task_row = *step_row.add_tasks();
@@ -515,7 +515,8 @@
     while (!m_ended.empty() && m_forget.size() < forget_batch) {
         const auto* job = find(m_ended.front());
         if (job != nullptr) {
-            if (at - from_ms(job->ended_ms) < m_options.retention || job->dirty || job->durable < job->version)
+            if (at - from_ms(job->ended_ms) < m_options.retention || job->dirty ||
+                job->durable < job->version)
                 return;
             m_forget.push_back(m_ended.front());
             m_jobs.erase(m_ended.front());
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -22,11 +22,11 @@
 
 struct engine_options {
     std::uint64_t epoch = 1;
-    milliseconds lease{4500};       ///< asked for at each poll and start
-    milliseconds poll_wait{1000};   ///< how long a target may hold a poll that has no news
-    milliseconds idle_poll{4000};   ///< between polls of a target that runs nothing
+    milliseconds lease{4500};        ///< asked for at each poll and start
+    milliseconds poll_wait{1000};    ///< how long a target may hold a poll that has no news
+    milliseconds idle_poll{4000};    ///< between polls of a target that runs nothing
     milliseconds retention{135'000}; ///< how long an ended job can be asked for
-    milliseconds unknown_runs{0};   ///< after a takeover, how long a target that isn't reached may run tasks
+    milliseconds unknown_runs{0};    ///< after a takeover, how long a target that isn't reached may run tasks
 };
 
 enum class order_kind { start, stop };
@@ -48,16 +48,16 @@
 
 enum class order_outcome {
     done,
-    fenced,         ///< another owner was seen
-    superseded,     ///< a run as high as this one was seen
-    too_late,       ///< it came after its deadline
+    fenced,     ///< another owner was seen
+    superseded, ///< a run as high as this one was seen
+    too_late,   ///< it came after its deadline
     no_room,
     bad_ticket,
-    other_target,   ///< another life answers at that address
-    unhealthy,      ///< the target took nothing in
+    other_target, ///< another life answers at that address
+    unhealthy,    ///< the target took nothing in
     malformed,
-    not_sent,       ///< nobody listens there
-    lost,           ///< no answer: it may be carried out
+    not_sent, ///< nobody listens there
+    lost,     ///< no answer: it may be carried out
 };
 
 struct poll_order {
@@ -221,7 +221,7 @@
         std::string team;
         std::int64_t ended_ms = 0;
         bool has_spec_row = false;
-        bool started = false; ///< a task has started
+        bool started = false;  ///< a task has started
         bool doubtful = false; ///< from before the takeover: its tasks may run where nobody looked yet
         bool beyond_rate = false;
         int next_occurrence = 0;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -40,7 +40,8 @@
 
 bool job_engine::usable(instant at, const target_state& target) const {
     return target.listed && target.claimed && !target.suspect && !target.entry.draining &&
-           !target.holds_unknown() && at >= target.avoid_until && !m_drained.contains(target.entry.data_centre);
+           !target.holds_unknown() && at >= target.avoid_until &&
+           !m_drained.contains(target.entry.data_centre);
 }
 
 bool job_engine::within_cap(const std::string& team, const resources& need) const {
@@ -109,15 +110,15 @@
         const auto& spec = ready.job->spec.steps(ready.step);
         const auto& step =
             ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
-        const auto work = static_cast<double>(spec.need().cpu_milli()) * static_cast<double>(spec.estimate_ms());
+        const auto work =
+            static_cast<double>(spec.need().cpu_milli()) * static_cast<double>(spec.estimate_ms());
         m_backlog[ready.turn->priority] += work * static_cast<double>(step.open);
     }
 }
 
 bool job_engine::is_stray(const ready_step& ready, std::size_t index) const {
-    return !m_stray_tasks.empty() &&
-           m_stray_tasks.contains(
-               {ready.job->spec.id(), ready.occurrence, ready.step, static_cast<int>(index)});
+    return !m_stray_tasks.empty() && m_stray_tasks.contains({ready.job->spec.id(), ready.occurrence,
+                                                             ready.step, static_cast<int>(index)});
 }
 
 std::vector<target_state*> job_engine::candidates(instant at, const ready_step& ready) {
@@ -141,7 +142,7 @@
 }
 
 job_engine::step_result job_engine::schedule_step(instant at, const ready_step& ready,
-                                                   std::set<std::string>& reserved) {
+                                                  std::set<std::string>& reserved) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     if (!within_cap(ready.job->team, need))
@@ -238,7 +239,8 @@
         groups[spec.same_rack() ? target->entry.rack : std::string{}].push_back(target);
     for (auto& [rack, group] : groups) {
         // Fuller targets first: what stays free stays in large pieces.
-        std::ranges::stable_sort(group, {}, [](const target_state* target) { return target->free().cpu_milli; });
+        std::ranges::stable_sort(group, {},
+                                 [](const target_state* target) { return target->free().cpu_milli; });
         std::vector<target_state*> chosen;
         for (auto* target : group) {
             auto fits = fits_in(need, target->free());
@@ -317,7 +319,8 @@
     return free;
 }
 
-void job_engine::ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates) {
+void job_engine::ask_advice(instant at, const ready_step& ready,
+                            const std::vector<target_state*>& candidates) {
     auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
     const auto queued = std::ranges::count_if(
         step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -39,8 +39,7 @@
         listed.insert(entry.id);
         auto [found, added] = m_targets.try_emplace(entry.id);
         auto& target = found->second;
-        if (!added && entry.born_ms != 0 && target.entry.born_ms != 0 &&
-            entry.born_ms > target.entry.born_ms)
+        if (!added && entry.born_ms != 0 && target.entry.born_ms != 0 && entry.born_ms > target.entry.born_ms)
             new_life(at, target, entry.born_ms);
         const auto born = std::max(entry.born_ms, target.entry.born_ms);
         target.entry = entry;
@@ -154,7 +153,8 @@
             job->started = true;
         return;
     }
-    note("start_refused", order.task.job, order.target + " " + text + " " + std::to_string(static_cast<int>(outcome)));
+    note("start_refused", order.task.job,
+         order.target + " " + text + " " + std::to_string(static_cast<int>(outcome)));
     if (outcome == order_outcome::lost) {
         if (run.phase == run_phase::starting)
             run.phase = run_phase::unsure;
@@ -332,7 +332,8 @@
 bool job_engine::adopt(instant at, target_state& target, const task_name& name, const listed_run& run) {
     job_state* job = nullptr;
     auto* step = find_step(name, &job);
-    if (step == nullptr || job->phase != pb::job_progress::open || !job->doubtful || run.run > next_number(0) - 1)
+    if (step == nullptr || job->phase != pb::job_progress::open || !job->doubtful ||
+        run.run > next_number(0) - 1)
         return false;
     auto& task = step->tasks[static_cast<std::size_t>(name.index)];
     // Whether the step is ready isn't asked: the ends before it may stand in lists that weren't read yet.
@@ -378,7 +379,8 @@
     target.runs.erase(found);
     job_state* job = nullptr;
     auto* step = find_step(run.task, &job);
-    note("run_dropped", run.task.job, target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + std::string{why});
+    note("run_dropped", run.task.job,
+         target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + std::string{why});
     if (step == nullptr)
         return;
     auto& task = step->tasks[static_cast<std::size_t>(run.task.index)];
@@ -450,7 +452,9 @@
     }
     if (task.done)
         return;
-    note("run_ended", name->job, target.entry.id + " " + end.task + " run " + std::to_string(end.run) + ": how " + std::to_string(static_cast<int>(end.how)));
+    note("run_ended", name->job,
+         target.entry.id + " " + end.task + " run " + std::to_string(end.run) + ": how " +
+             std::to_string(static_cast<int>(end.how)));
     break_gang(*job, *name);
     if (end.how == end_kind::failed)
         run_failed(at, target, *job, *name, end.run);
@@ -537,8 +541,8 @@
         for (auto& [number, occurrence] : job.occurrences) {
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 const auto& tasks = occurrence.steps[i].tasks;
-                const auto live = std::ranges::count_if(
-                    tasks, [](const task_state& task) { return !task.on.empty(); });
+                const auto live =
+                    std::ranges::count_if(tasks, [](const task_state& task) { return !task.on.empty(); });
                 if (live != 0 && live != static_cast<std::ptrdiff_t>(tasks.size()))
                     break_gang(job, {id, number, static_cast<int>(i), 0});
             }
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -46,14 +46,14 @@
 /// What the owner knows of one target.
 struct target_state {
     target_entry entry;
-    bool listed = true;    ///< its entry is in the list
-    bool claimed = false;  ///< it answered under this owner's epoch, so its lists are known
-    bool suspect = false;  ///< the last poll got no answer
+    bool listed = true;   ///< its entry is in the list
+    bool claimed = false; ///< it answered under this owner's epoch, so its lists are known
+    bool suspect = false; ///< the last poll got no answer
     resources held;
     std::map<std::string, live_run> runs; ///< by the task's text
     std::vector<stray_run> strays;
-    std::int64_t clock_ms = 0; ///< the target's own clock ...
-    instant clock_read{};      ///< ... when it was read; unset before the first answer
+    std::int64_t clock_ms = 0;   ///< the target's own clock ...
+    instant clock_read{};        ///< ... when it was read; unset before the first answer
     std::int64_t granted_ms = 0; ///< the latest deadline sent, on the target's clock
     std::int64_t acked_upto = 0; ///< ends the target may forget
     std::int64_t seen_upto = 0;  ///< ends that were taken in
--- a/src/jobs/waiting_order.cpp
+++ b/src/jobs/waiting_order.cpp
@@ -19,9 +19,9 @@
 } // namespace
 
 bool goes_before(instant at, const waiting_step& left, const waiting_step& right) {
-    return std::tuple{left.beyond_rate, lateness(at, left) == 2, left.priority, lateness(at, left), left.due} <
-           std::tuple{right.beyond_rate, lateness(at, right) == 2, right.priority, lateness(at, right),
-                      right.due};
+    return std::tuple{left.beyond_rate, lateness(at, left) == 2, left.priority, lateness(at, left),
+                      left.due} < std::tuple{right.beyond_rate, lateness(at, right) == 2, right.priority,
+                                             lateness(at, right), right.due};
 }
 
 bool rate_allowance::take(instant at, double per_second) {
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -169,8 +169,10 @@
         self.set_peer_address(m_options.peer_address);
         self.set_data_centre(m_options.data_centre);
         self.set_incarnation(std::stoull(incarnation));
-        const auto outcome = m_rows.transact(
-            {{node_prefix + m_options.node, self.SerializeAsString(), write_condition::none, 0, false}}).outcome;
+        const auto outcome = m_rows
+                                 .transact({{node_prefix + m_options.node, self.SerializeAsString(),
+                                             write_condition::none, 0, false}})
+                                 .outcome;
         if (outcome != write_outcome::committed)
             return false;
         ids.insert(m_options.node);
@@ -192,7 +194,8 @@
 
 std::optional<propose_result> config_sync::record(pb::config_change& change) {
     const auto key = chain_key(change.revision());
-    auto outcome = m_rows.transact({{key, change.SerializeAsString(), write_condition::absent, 0, false}}).outcome;
+    auto outcome =
+        m_rows.transact({{key, change.SerializeAsString(), write_condition::absent, 0, false}}).outcome;
     if (outcome == write_outcome::committed) {
         m_gate.succeeded();
         return propose_result{propose_outcome::applied, {}, change};
--- a/src/node/journal.cpp
+++ b/src/node/journal.cpp
@@ -182,7 +182,8 @@
         return false;
     const auto condition = m_pointer_version == 0 ? write_condition::absent : write_condition::version;
     const auto outcome =
-        m_rows.transact({{pointer_key(), std::to_string(sequence), condition, m_pointer_version, false}}).outcome;
+        m_rows.transact({{pointer_key(), std::to_string(sequence), condition, m_pointer_version, false}})
+            .outcome;
     if (outcome != write_outcome::committed) {
         // The write may have taken effect: find out where the pointer is before the next one.
         const auto pointer = m_rows.read(pointer_key());
--- a/src/peers/peer_calls.h
+++ b/src/peers/peer_calls.h
@@ -10,6 +10,8 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <type_traits>
+#include <utility>
 
 namespace medlarhub {
 
@@ -25,7 +27,7 @@
 /// Calls to the gRPC service `Service` of other nodes, with one channel for each address.
 template <typename Service> class peer_calls {
 public:
-    using async_stub = typename Service::Stub::async;
+    using async_stub = std::remove_pointer_t<decltype(std::declval<typename Service::Stub&>().async())>;
 
     template <typename Request, typename Reply>
     using method = void (async_stub::*)(grpc::ClientContext*, const Request*, Reply*,
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -6,7 +6,6 @@
 
 #include "medlarhub.grpc.pb.h"
 
-
 namespace medlarhub {
 
 namespace {
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -69,7 +69,8 @@
     CHECK(world.owner().state("j") == pb::job_answer::completed);
 }
 
-TEST_CASE("a takeover in a later step takes its runs over though earlier ends come after", "[engine][recovery]") {
+TEST_CASE("a takeover in a later step takes its runs over though earlier ends come after",
+          "[engine][recovery]") {
     auto after = simple_step(3, 1000);
     after.add_after(0);
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -188,9 +188,8 @@
 void job_world::send(const target_order& order) {
     const auto owner = m_owner;
     const auto answer = [this, owner, order](order_outcome outcome, milliseconds after) {
-        m_messages.emplace(m_at + after, [this, owner, order, outcome] {
-            owner->answered(m_at, order, outcome, 0);
-        });
+        m_messages.emplace(m_at + after,
+                           [this, owner, order, outcome] { owner->answered(m_at, order, outcome, 0); });
     };
     if (m_late > 0ms || lost()) {
         answer(order_outcome::lost, order_timeout);
@@ -286,7 +285,8 @@
         break;
     case 2:
         if (m_submitted.size() > 1)
-            cancel(std::next(m_submitted.begin(), static_cast<std::ptrdiff_t>(pick(m_submitted.size())))->first);
+            cancel(
+                std::next(m_submitted.begin(), static_cast<std::ptrdiff_t>(pick(m_submitted.size())))->first);
         break;
     case 3: // A run that fails by its own fault, once.
         for (const auto& [task, run] : m_targets.at(any_target).running())
@@ -315,7 +315,8 @@
     std::vector<std::string> found;
     for (const auto& id : m_accepted) {
         const auto state = m_owner->state(id);
-        if (state == pb::job_answer::queued || state == pb::job_answer::running || state == pb::job_answer::none)
+        if (state == pb::job_answer::queued || state == pb::job_answer::running ||
+            state == pb::job_answer::none)
             found.push_back(id);
     }
     return found;
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -83,9 +83,9 @@
     std::shared_ptr<cell_config> m_config;
     std::map<std::string, standin::job_target> m_targets;
     std::map<std::string, instant> m_silent;
-    std::map<std::string, pb::job_spec> m_specs;         ///< rows
-    std::map<std::string, pb::job_progress> m_progress;  ///< rows
-    std::vector<std::string> m_roster;                   ///< row
+    std::map<std::string, pb::job_spec> m_specs;        ///< rows
+    std::map<std::string, pb::job_progress> m_progress; ///< rows
+    std::vector<std::string> m_roster;                  ///< row
     std::map<std::string, pb::job_spec> m_submitted;
     std::set<std::string> m_accepted;
     std::set<std::string> m_cancelled;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -58,11 +58,12 @@
         const char* text;
         bool decodes;
     };
-    const auto given = GENERATE(row{"", false}, row{"{", false}, row{"{}", false}, row{R"({"steps":5})", false},
-                                row{R"({"steps":[5]})", false}, row{R"({"steps":[{"after":["x"]}]})", false},
-                                row{R"({"steps":[]})", true}, row{R"({"steps":[{"count":0}]})", true},
-                                row{R"({"steps":[{"count":1,"after":[0]}]})", true},
-                                row{R"({"steps":[{"count":1,"cpu":-1}]})", true});
+    const auto given =
+        GENERATE(row{"", false}, row{"{", false}, row{"{}", false}, row{R"({"steps":5})", false},
+                 row{R"({"steps":[5]})", false}, row{R"({"steps":[{"after":["x"]}]})", false},
+                 row{R"({"steps":[]})", true}, row{R"({"steps":[{"count":0}]})", true},
+                 row{R"({"steps":[{"count":1,"after":[0]}]})", true},
+                 row{R"({"steps":[{"count":1,"cpu":-1}]})", true});
     INFO(given.text);
     const auto bad = platform::decode_job("5c0e7a21d94b36f8", given.text);
     CHECK(bad.has_value() == given.decodes);
