--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -40,8 +40,9 @@
 constexpr milliseconds report_period{1000};
 constexpr double lease_drift = 1.02;
 
+/// Ends of steps come with every job; all other events are rare enough to be logged as a matter of course.
 bool wanted_at_info(const std::string& event) {
-    return event != "run_ended" && event != "step_done";
+    return event != "step_done";
 }
 
 } // namespace
@@ -266,7 +267,7 @@
                                            if (outcome == order_outcome::done)
                                                self->m_gate.observe(at, at - sent);
                                            if (self->m_engine)
-                                               self->m_engine->answered(at, order, outcome, 0);
+                                               self->m_engine->answered(at, order, outcome);
                                        });
                                    });
     }
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -159,7 +160,7 @@
 
     // Targets.
     [[nodiscard]] std::vector<target_order> take_orders(instant at);
-    void answered(instant at, const target_order& order, order_outcome outcome, std::int64_t clock_ms);
+    void answered(instant at, const target_order& order, order_outcome outcome);
     [[nodiscard]] std::vector<poll_order> take_polls(instant at);
     void polled(instant at, instant sent, const poll_order& order, const poll_result& result);
 
@@ -341,6 +342,10 @@
     bool m_fenced = false;
 };
 
+/// The words that logs use.
+std::string_view name_of(order_outcome outcome);
+std::string_view name_of(end_kind how);
+
 /// Why a spec can't be taken, or nothing when it can.
 std::optional<std::string> fault_of(const pb::job_spec& spec);
 
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -305,6 +305,9 @@
     task.on.push_back(target.entry.id);
     task.last_run = number;
     const auto text = name.to_string();
+    note("task_placed", name.job,
+         target.entry.id + " " + text + " run " + std::to_string(number) + ", free cpu_milli " +
+             std::to_string(target.free().cpu_milli));
     const auto* ticket = step.advice.ticket(at, target.entry.id);
     m_starts.push_back({target.entry.id, text, ticket == nullptr ? std::string{} : *ticket});
     target.runs[text] = std::move(run);
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -31,6 +31,52 @@
 
 } // namespace
 
+std::string_view name_of(order_outcome outcome) {
+    switch (outcome) {
+    case order_outcome::done:
+        return "done";
+    case order_outcome::fenced:
+        return "fenced: a later owner was seen";
+    case order_outcome::superseded:
+        return "superseded by a later run";
+    case order_outcome::too_late:
+        return "came after its deadline";
+    case order_outcome::no_room:
+        return "no room";
+    case order_outcome::bad_ticket:
+        return "ticket refused";
+    case order_outcome::other_target:
+        return "another target answers there";
+    case order_outcome::unhealthy:
+        return "target unhealthy";
+    case order_outcome::malformed:
+        return "malformed";
+    case order_outcome::not_sent:
+        return "connection refused";
+    case order_outcome::lost:
+        break;
+    }
+    return "answer lost";
+}
+
+std::string_view name_of(end_kind how) {
+    switch (how) {
+    case end_kind::done:
+        return "done";
+    case end_kind::failed:
+        return "failed";
+    case end_kind::stopped:
+        return "stopped";
+    case end_kind::lapsed:
+        return "lease lapsed";
+    case end_kind::broken:
+        return "another member of its gang ended";
+    case end_kind::alone:
+        break;
+    }
+    return "waited in vain for its gang";
+}
+
 // ---- The list of targets ----
 
 void job_engine::set_targets(instant at, const std::vector<target_entry>& targets) {
@@ -119,8 +165,7 @@
     return orders;
 }
 
-void job_engine::answered(instant at, const target_order& order, order_outcome outcome,
-                          std::int64_t /*clock_ms*/) {
+void job_engine::answered(instant at, const target_order& order, order_outcome outcome) {
     if (outcome == order_outcome::fenced)
         m_fenced = true;
     const auto found = m_targets.find(order.target);
@@ -154,7 +199,8 @@
         return;
     }
     note("start_refused", order.task.job,
-         order.target + " " + text + " " + std::to_string(static_cast<int>(outcome)));
+         order.target + " " + text + " run " + std::to_string(order.run) + ": " +
+             std::string{name_of(outcome)});
     if (outcome == order_outcome::lost) {
         if (run.phase == run_phase::starting)
             run.phase = run_phase::unsure;
@@ -453,8 +499,8 @@
     if (task.done)
         return;
     note("run_ended", name->job,
-         target.entry.id + " " + end.task + " run " + std::to_string(end.run) + ": how " +
-             std::to_string(static_cast<int>(end.how)));
+         target.entry.id + " " + end.task + " run " + std::to_string(end.run) + ": " +
+             std::string{name_of(end.how)});
     break_gang(*job, *name);
     if (end.how == end_kind::failed)
         run_failed(at, target, *job, *name, end.run);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -46,6 +46,7 @@
     if (!served.start() || !server.start(parsed.http_address, parsed.max_body_bytes, handle)) {
         log_event(log_level::error, "start_failed", {{"reason", last_reason()}});
         std::cerr << last_reason() << "\n";
+        flush_log();
         std::_Exit(exit_failed);
     }
     int received = 0;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -16,7 +16,7 @@
                                                               0.064, 0.128, 0.256, 0.512, 1.024, 4.096};
 
 std::string help(const std::string& name) {
-    return "see docs/operations.md: " + name;
+    return "see docs/OPERATIONS.md: " + name;
 }
 
 } // namespace
--- a/src/operators/operator_api.h
+++ b/src/operators/operator_api.h
@@ -7,7 +7,7 @@
 
 namespace medlarhub {
 
-/// The operators' interface under /v1/operator: docs/operations.md. Calls that wait on the platform run on a
+/// The operators' interface under /v1/operator: docs/OPERATIONS.md. Calls that wait on the platform run on a
 /// thread of their own, so that they never hold up callers.
 class operator_api {
 public:
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -189,7 +189,7 @@
     const auto owner = m_owner;
     const auto answer = [this, owner, order](order_outcome outcome, milliseconds after) {
         m_messages.emplace(m_at + after,
-                           [this, owner, order, outcome] { owner->answered(m_at, order, outcome, 0); });
+                           [this, owner, order, outcome] { owner->answered(m_at, order, outcome); });
     };
     if (m_late > 0ms || lost()) {
         answer(order_outcome::lost, order_timeout);
