--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,13 +1,10 @@
 #include "log.h"
 
+#include "log_queue.h"
+
 #include <chrono>
-#include <condition_variable>
 #include <easylogging++.h>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <thread>
-#include <utility>
-#include <vector>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -15,83 +12,8 @@
 
 namespace {
 
-constexpr std::size_t most_waiting_lines = 8192;
-constexpr std::chrono::milliseconds write_period{50};
-
-/// Lines on their way to the output, bounded.
-class line_queue {
-public:
-    ~line_queue() { stop(); }
-
-    void start() {
-        const std::lock_guard lock{m_mutex};
-        if (!m_thread.joinable())
-            m_thread = std::thread{[this] { work(); }};
-    }
-
-    void add(std::string line) {
-        const std::lock_guard lock{m_mutex};
-        if (m_lines.size() < most_waiting_lines)
-            m_lines.push_back(std::move(line));
-        else
-            ++m_dropped;
-    }
-
-    void flush() {
-        const std::lock_guard writing{m_write_mutex};
-        std::vector<std::string> lines;
-        std::size_t dropped = 0;
-        {
-            const std::lock_guard lock{m_mutex};
-            lines.swap(m_lines);
-            dropped = std::exchange(m_dropped, 0);
-        }
-        std::string text;
-        for (const auto& line : lines)
-            text += (text.empty() ? "" : "\n") + line;
-        if (dropped > 0 && !text.empty())
-            text += "\n";
-        if (dropped > 0)
-            text += nlohmann::json{{"level", "warning"}, {"event", "log_dropped"}, {"lines", dropped}}.dump();
-        if (!text.empty())
-            LOG(INFO) << text;
-    }
-
-    void stop() {
-        {
-            const std::lock_guard lock{m_mutex};
-            m_stopping = true;
-        }
-        m_wake.notify_all();
-        if (m_thread.joinable())
-            m_thread.join();
-        flush();
-    }
-
-private:
-    void work() {
-        std::unique_lock lock{m_mutex};
-        while (!m_stopping) {
-            m_wake.wait_for(lock, write_period, [this] { return m_stopping; });
-            if (m_lines.empty())
-                continue;
-            lock.unlock();
-            flush();
-            lock.lock();
-        }
-    }
-
-    std::mutex m_write_mutex; ///< one writer at a time, so that lines keep their order
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::vector<std::string> m_lines;
-    std::size_t m_dropped = 0;
-    bool m_stopping = false;
-    std::thread m_thread;
-};
-
 line_queue& queue() {
-    static line_queue lines;
+    static line_queue lines{[](const std::string& text) { LOG(INFO) << text; }};
     return lines;
 }
 
