--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -199,6 +199,16 @@
     CHECK(world.owner().state("j") == pb::job_answer::completed);
 }
 
+TEST_CASE("a step that requires a label runs only on targets that have it", "[engine]") {
+    const auto label = GENERATE(std::string{"a"}, std::string{"b"}); // all targets are labelled a and r1
+    job_world world{{}, 17};
+    auto step = simple_step(2, 1000);
+    step.set_required_label(label);
+    world.submit(simple_job("j", {step}));
+    world.run_for(2s);
+    CHECK(world.starts().size() == (label == "a" ? 2U : 0U));
+}
+
 TEST_CASE("gangs that wait for room don't keep batch work from what they leave", "[engine][load]") {
     job_world world{{.targets = 4, .work = 10s}, 12};
     auto wide = simple_step(6, 3000); // four fit at once
