Stop gangs of which only a part is found at a takeover

Cause: after a takeover, members of a gang that was half started wait until every target was reached, up to 7.1 s when one isn't, while a target ends a member as alone after 3,000 ms. Change: a part of a gang without processor use, 1 s after it was found, is stopped; one that works is left. The fifth entry of a listed run is read for that; the fourth was taken for progress, which it isn't, and was used by nothing. Test: failed before (two members left), passes.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -531,6 +531,7 @@
         open_due_occurrences(at, m_jobs.at(id));
     check_lapses(at);
     claim_done(at);
+    check_doubtful_gangs(at);
     forget_old(at);
     if (at >= m_next_pass) { // tickets, pauses and due times pass without an event
         m_next_pass = at + pass_period;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -74,7 +74,7 @@
     std::string task;
     int run = 0;
     std::string saved;
-    int percent = 0;
+    double usage = 0; ///< of late, in the target's own measure; 0 for a run that waits for its gang
 };
 
 enum class end_kind { done, failed, stopped, lapsed, broken, alone };
@@ -270,6 +270,8 @@
     void take_running(instant at, instant sent, target_state& target, const poll_result& result);
     bool adopt(instant at, target_state& target, const task_name& name, const listed_run& run);
     void break_gang(job_state& job, const task_name& name);
+    void check_doubtful_gangs(instant at);
+    void break_partial_gangs(instant at, job_state& job);
     void new_life(instant at, target_state& target, std::int64_t born_ms);
     void check_lapses(instant at);
     void claim_done(instant at);
@@ -305,6 +307,7 @@
     std::set<std::string> m_unclaimed; ///< of the roster, since the takeover
     instant m_doubt_ends{};
     bool m_doubt = false;
+    instant m_next_gang_check{};
     std::map<std::string, resources> m_held; ///< by team
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended; ///< by time of their end
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -21,6 +21,9 @@
 constexpr int failing_most_doublings = 2;
 /// Polls refused by the target's machine after which its process counts as dead.
 constexpr int dead_after = 2;
+/// After a takeover, how long members of a gang may wait for others that aren't found.
+constexpr milliseconds partial_gang_wait{1000};
+constexpr milliseconds gang_check_period{250};
 
 bool add_number(std::vector<int>& numbers, int number) {
     if (std::ranges::find(numbers, number) != numbers.end())
@@ -192,7 +195,6 @@
             return;
         run.phase = run_phase::running;
         run.confirmed = at;
-        run.progressed = at;
         target.next_poll = std::min(target.next_poll, at);
         if (job != nullptr)
             job->started = true;
@@ -337,9 +339,7 @@
                 if (auto* job = find(run.task.job))
                     job->started = true;
             }
-            if (found->second->percent != run.percent)
-                run.progressed = at;
-            run.percent = found->second->percent;
+            run.worked = run.worked || found->second->usage > 0;
             if (!found->second->saved.empty())
                 run.saved = found->second->saved;
             continue;
@@ -392,9 +392,9 @@
     adopted.team = job->team;
     adopted.phase = run_phase::running;
     adopted.ordered = true;
-    adopted.placed = adopted.confirmed = adopted.progressed = at;
+    adopted.placed = adopted.confirmed = at;
     adopted.saved = run.saved;
-    adopted.percent = run.percent;
+    adopted.worked = run.usage > 0;
     target.held += adopted.held;
     m_held[job->team] += adopted.held;
     task.on.push_back(target.entry.id);
@@ -573,6 +573,20 @@
     }
 }
 
+void job_engine::check_doubtful_gangs(instant at) {
+    if (!m_doubt || at < m_next_gang_check)
+        return;
+    m_next_gang_check = at + gang_check_period;
+    for (const auto& id : m_open) {
+        auto& job = m_jobs.at(id);
+        const auto& steps = job.spec.steps();
+        const bool gangs =
+            std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.gang(); });
+        if (job.doubtful && gangs)
+            break_partial_gangs(at, job);
+    }
+}
+
 void job_engine::claim_done(instant at) {
     if (!m_doubt || (!m_unclaimed.empty() && at < m_doubt_ends))
         return;
@@ -584,17 +598,34 @@
         if (!job.doubtful)
             continue;
         job.doubtful = false;
-        for (auto& [number, occurrence] : job.occurrences) {
-            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-                const auto& tasks = occurrence.steps[i].tasks;
-                const auto live =
-                    std::ranges::count_if(tasks, [](const task_state& task) { return !task.on.empty(); });
-                if (live != 0 && live != static_cast<std::ptrdiff_t>(tasks.size()))
-                    break_gang(job, {id, number, static_cast<int>(i), 0});
+        break_partial_gangs(at, job);
+    }
+    m_changed = true;
+}
+
+void job_engine::break_partial_gangs(instant at, job_state& job) {
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            std::ptrdiff_t live = 0;
+            bool worked = false;
+            auto since = at;
+            for (std::size_t index = 0; index < occurrence.steps[i].tasks.size(); ++index) {
+                const task_name member{job.spec.id(), number, static_cast<int>(i), static_cast<int>(index)};
+                for (const auto& target : occurrence.steps[i].tasks[index].on) {
+                    const auto& run = m_targets.at(target).runs.at(member.to_string());
+                    ++live;
+                    worked = worked || run.worked;
+                    since = std::min(since, run.confirmed);
+                }
             }
+            if (live == 0 || live == static_cast<std::ptrdiff_t>(occurrence.steps[i].tasks.size()))
+                continue;
+            // The others may run where nobody looked yet.
+            if (job.doubtful && (worked || at - since < partial_gang_wait))
+                continue;
+            break_gang(job, {job.spec.id(), number, static_cast<int>(i), 0});
         }
     }
-    m_changed = true;
 }
 
 } // namespace medlarhub
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -30,8 +30,7 @@
     instant next_stop{};
     instant stop_confirmed{}; ///< from then on the target bars this run
     std::string saved;
-    int percent = 0;
-    instant progressed{};
+    bool worked = false; ///< it was seen at work: it doesn't wait for the others of its gang
 };
 
 /// A run that a target lists and nobody here wants: it is stopped, and holds its need until it is gone.
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -130,6 +130,28 @@
     CHECK(world.violation().empty());
 }
 
+TEST_CASE("a gang of which only a part is found at a takeover is stopped before its members give up, unless it works",
+          "[engine][recovery]") {
+    const bool works = GENERATE(false, true);
+    auto gang = simple_step(3, 3000);
+    gang.set_gang(true);
+    job_world world{{.work = 60s}, 16};
+    world.submit(simple_job("j", {gang}));
+    world.run_for(500ms);
+    REQUIRE(world.starts().size() == 3);
+    const auto where = world.starts().front().substr(world.starts().front().find('@') + 1);
+    world.silence(where, 30s);
+    for (const auto* id : {"t0", "t1", "t2"})
+        world.target(id).set_idle(!works);
+    world.take_over();
+    world.run_for(2s);
+    std::size_t left = 0;
+    for (const auto* id : {"t0", "t1", "t2"})
+        left += id == where ? 0 : world.target(id).running().size();
+    CHECK(left == (works ? 2 : 0));
+    CHECK(world.violation().empty());
+}
+
 TEST_CASE("a task on a silent target runs elsewhere once its lease has lapsed", "[engine][lease]") {
     job_world world{{.work = 20s}, 6};
     world.submit(simple_job("j", {simple_step(1, 1000)}));
--- a/test/standin/job_target.h
+++ b/test/standin/job_target.h
@@ -28,6 +28,8 @@
     poll_result poll(instant at, const poll_order& order);
     /// Lets work end and leases lapse; `fails` says whether a run that is over has failed.
     void advance(instant at, const std::function<bool(const std::string& task, int run)>& fails);
+    /// Whether what runs does no work, as members of a gang that wait for others.
+    void set_idle(bool idle) { m_idle = idle; }
     /// A crash and a new life: nothing of before is known.
     void restart(instant at);
 
@@ -43,6 +45,7 @@
     void end(const std::string& task, end_kind how);
 
     std::string m_id;
+    bool m_idle = false;
     resources m_capacity;
     instant m_born;
     std::uint64_t m_fence = 0;
