Send starts again under their number, ask late polls again, and end a gang's later runs

Change: a start without an answer in 250 ms is sent again to the same target under the same number, four times in all; whatever but success then counts as unsure, since an earlier one may yet be carried out. A poll 300 ms beyond its wait is followed by one that doesn't wait and renews nothing; answers that were overtaken are dropped.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -31,7 +31,8 @@
 /// A write without an answer for this long counts as failing.
 constexpr milliseconds slow_write{700};
 constexpr milliseconds stall_tolerated{700};
-constexpr milliseconds order_timeout{1000};
+constexpr milliseconds start_timeout{250};
+constexpr milliseconds stop_timeout{500};
 constexpr milliseconds poll_grace{1000};
 constexpr milliseconds answer_margin{30};
 constexpr milliseconds usual_retry{500};
@@ -260,7 +261,8 @@
     void send(const target_order& order) {
         m_environment.counters->count(order.kind == order_kind::start ? "starts_total" : "stops_total");
         const auto sent = now();
-        m_environment.orders->send(order, order_timeout,
+        const auto timeout = order.kind == order_kind::start ? start_timeout : stop_timeout;
+        m_environment.orders->send(order, timeout,
                                    [self = shared_from_this(), order, sent](order_outcome outcome) {
                                        self->locked([&](instant at) {
                                            // Targets answer at once, so a slow answer waited here.
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -329,7 +329,7 @@
     return static_cast<std::size_t>(name.index) < step.tasks.size() ? &step : nullptr;
 }
 
-void job_engine::task_done(instant at, job_state& job, const task_name& name) {
+void job_engine::task_done(instant at, job_state& job, const task_name& name, int number) {
     auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
     auto& task = step.tasks[static_cast<std::size_t>(name.index)];
     if (task.done)
@@ -343,11 +343,17 @@
         task.done = true;
         --step.open;
     }
-    // Copies of the task elsewhere have become useless; the other members of a gang end by themselves.
-    for (const auto& target : gang ? std::vector<std::string>{} : task.on) {
-        const auto run = m_targets.at(target).runs.find(name.to_string());
-        if (run != m_targets.at(target).runs.end())
-            want_stop(run->second);
+    // Other runs of the task have become useless; the members of a gang that were started with it end by
+    // themselves.
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        if (!gang && static_cast<int>(i) != name.index)
+            continue;
+        const task_name each{name.job, name.occurrence, name.step, static_cast<int>(i)};
+        for (const auto& target : step.tasks[i].on) {
+            auto& run = m_targets.at(target).runs.at(each.to_string());
+            if (!gang || run.number != number)
+                want_stop(run);
+        }
     }
     touch(at, job, false);
     if (step.open == 0)
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -248,7 +248,7 @@
     [[nodiscard]] milliseconds allowance_of(const pb::job_spec& spec) const;
     void open_due_occurrences(instant at, job_state& job);
     void set_ready(job_state& job, int occurrence);
-    void task_done(instant at, job_state& job, const task_name& name);
+    void task_done(instant at, job_state& job, const task_name& name, int number);
     void step_done(instant at, job_state& job, int occurrence, int step);
     void end_job(instant at, job_state& job, pb::job_progress::phase phase);
     void stop_runs(job_state& job);
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr milliseconds stop_retry{300};
+/// A start without an answer is sent again to the same target under the same number, this often in all.
+constexpr int start_tries = 4;
+/// A poll without an answer this long after its wait is followed by another one.
+constexpr milliseconds poll_patience{300};
 constexpr milliseconds poll_retry{250};
 constexpr milliseconds poll_spacing{25};
 constexpr milliseconds unhealthy_pause{1000};
@@ -121,7 +125,8 @@
             continue;
         auto& run = found->second;
         if (run.stop_wanted) {
-            drop_run(at, target, start.task, "stopped before it was ordered");
+            if (!run.ordered)
+                drop_run(at, target, start.task, "stopped before it was ordered");
             continue;
         }
         run.ordered = true;
@@ -190,7 +195,9 @@
     auto& run = found->second;
     job_state* job = nullptr;
     auto* step = find_step(order.task, &job);
-    if (outcome == order_outcome::done) {
+    // A start that was sent before may have made this one needless.
+    const bool known_there = outcome == order_outcome::superseded && run.lost_starts > 0;
+    if (outcome == order_outcome::done || known_there) {
         if (run.phase != run_phase::starting)
             return;
         run.phase = run_phase::running;
@@ -203,7 +210,13 @@
     note("start_refused", order.task.job,
          order.target + " " + text + " run " + std::to_string(order.run) + ": " +
              std::string{name_of(outcome)});
-    if (outcome == order_outcome::lost) {
+    if (outcome == order_outcome::lost && ++run.lost_starts < start_tries && !run.stop_wanted &&
+        run.phase == run_phase::starting && job != nullptr) {
+        m_starts.push_back({target.entry.id, text, order.ticket});
+        return;
+    }
+    const bool maybe_there = run.lost_starts > 0 && outcome != order_outcome::other_target;
+    if (maybe_there) {
         if (run.phase == run_phase::starting)
             run.phase = run_phase::unsure;
         want_stop(run);
@@ -253,7 +266,8 @@
 std::vector<poll_order> job_engine::take_polls(instant at) {
     std::vector<poll_order> orders;
     for (auto& [id, target] : m_targets) {
-        if (target.poll_out || at < target.next_poll)
+        const bool again = target.poll_out && at >= target.poll_overdue;
+        if ((target.poll_out && !again) || (!target.poll_out && at < target.next_poll))
             continue;
         poll_order order;
         order.target = id;
@@ -261,13 +275,14 @@
         order.epoch = m_options.epoch;
         order.acked_upto = target.acked_upto;
         // A silent target's leases aren't renewed, or it would never be known when they have lapsed.
-        if (target.claimed && !target.suspect && target.clock_read != instant{}) {
+        if (!again && target.claimed && !target.suspect && target.clock_read != instant{}) {
             order.deadline_ms = target.clock_at(at) + m_options.lease.count();
             target.granted_ms = std::max(target.granted_ms, *order.deadline_ms);
             if (!target.runs.empty())
                 order.wait = m_options.poll_wait;
         }
         target.poll_out = true;
+        target.poll_overdue = at + order.wait + poll_patience;
         orders.push_back(std::move(order));
     }
     return orders;
@@ -278,12 +293,14 @@
     if (found == m_targets.end())
         return;
     auto& target = found->second;
+    if (result.outcome == order_outcome::fenced)
+        m_fenced = true;
+    if (sent < target.latest_answer_sent)
+        return; // a later poll overtook it
     target.poll_out = false;
     target.next_poll = at + poll_retry;
-    if (result.outcome == order_outcome::fenced) {
-        m_fenced = true;
+    if (result.outcome == order_outcome::fenced)
         return;
-    }
     if (result.outcome != order_outcome::done) {
         target.refused_polls = result.outcome == order_outcome::not_sent ? target.refused_polls + 1 : 0;
         if (!target.suspect)
@@ -299,6 +316,7 @@
         return;
     }
     target.refused_polls = 0;
+    target.latest_answer_sent = sent;
     if (target.suspect)
         note("target_back", {}, order.target);
     target.suspect = false;
@@ -493,7 +511,7 @@
     }
     if (end.how == end_kind::done && !spec.long_running()) {
         target.failures_in_row = 0;
-        task_done(at, *job, *name);
+        task_done(at, *job, *name, end.run);
         return;
     }
     if (task.done)
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -23,6 +23,7 @@
     std::string team;
     run_phase phase = run_phase::starting;
     bool ordered = false; ///< the start was handed out for sending
+    int lost_starts = 0;  ///< sends of the start that had no answer; each may yet be carried out
     instant placed{};
     instant confirmed{}; ///< when the target said that it runs
     bool stop_wanted = false;
@@ -58,6 +59,8 @@
     std::int64_t seen_upto = 0;  ///< ends that were taken in
     bool poll_out = false;
     instant next_poll{};
+    instant poll_overdue{};       ///< when a poll that is out should have had its answer
+    instant latest_answer_sent{}; ///< when the latest poll that was answered had been sent
     instant last_answer{};
     int refused_polls = 0;
     int failures_in_row = 0; ///< ends `failed` since the last one that was done
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <numeric>
+
 using namespace medlarhub;
 using namespace medlarhub::testing;
 using namespace std::chrono_literals;
@@ -179,6 +181,32 @@
     CHECK(world.owner().state("j") == pb::job_answer::completed);
 }
 
+TEST_CASE("a start without an answer is sent again under its number and runs once", "[engine][late]") {
+    const auto late = GENERATE(600ms, 3000ms); // while it runs, and after its end
+    job_world world{{.targets = 1, .work = 1s}, 18};
+    world.run_for(500ms);
+    world.delay_orders(late);
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.delay_orders(0ms);
+    world.run_for(400ms);
+    REQUIRE(world.target("t0").running().size() == 1);
+    CHECK(world.target("t0").running().begin()->second.number == 1);
+    world.run_for(5s);
+    CHECK(starts_of(world, "j") == 1);
+    CHECK(world.violation().empty());
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+}
+
+TEST_CASE("an end is seen soon though a poll stays without an answer", "[engine][late]") {
+    job_world world{{.targets = 1, .work = 300ms}, 19};
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.run_for(100ms);
+    world.lose_polls(1);
+    world.run_for(1500ms);
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+    CHECK(starts_of(world, "j") == 1);
+}
+
 TEST_CASE("work on a target that started anew runs again", "[engine]") {
     job_world world{{.targets = 1, .work = 2s}, 8};
     world.submit(simple_job("j", {simple_step(2, 1000)}));
@@ -328,16 +356,20 @@
 }
 
 TEST_CASE("promises hold over random orders of faults", "[engine][faults]") {
-    constexpr int worlds = 120;
+    constexpr std::uint64_t worlds = 1000;
     constexpr int faults = 60;
-    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
+    // The last two went wrong once: a gang that had ended on a silent target was started again.
+    std::vector<std::uint64_t> seeds(worlds);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    seeds.insert(seeds.end(), {3654, 16623});
+    for (const auto seed : seeds) {
         INFO("seed " << seed);
         job_world world{{}, seed};
         for (int i = 0; i < faults && world.violation().empty(); ++i)
             world.fault();
         world.heal(60s);
-        REQUIRE(world.violation().empty());
-        REQUIRE(world.open().empty());
+        CHECK(world.violation() == "");
+        CHECK(world.open().empty());
     }
 }
 
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -9,7 +9,9 @@
 using namespace std::chrono_literals;
 
 constexpr milliseconds step_time{20};
-constexpr milliseconds order_timeout{1000};
+constexpr milliseconds poll_timeout{1300};
+constexpr milliseconds start_timeout{250};
+constexpr milliseconds stop_timeout{500};
 constexpr milliseconds usual_delay{5};
 constexpr milliseconds unknown_runs{7500};
 
@@ -194,6 +196,7 @@
 
 void job_world::send(const target_order& order) {
     const auto owner = m_owner;
+    const auto order_timeout = order.kind == order_kind::start ? start_timeout : stop_timeout;
     const auto answer = [this, owner, order](order_outcome outcome, milliseconds after) {
         m_messages.emplace(m_at + after,
                            [this, owner, order, outcome] { owner->answered(m_at, order, outcome); });
@@ -206,7 +209,7 @@
             m_messages.emplace(m_at + late, [this, order] { carry_out(order); });
         return;
     }
-    m_messages.emplace(m_at + delay(), [this, owner, order, answer] {
+    m_messages.emplace(m_at + delay(), [this, owner, order, order_timeout, answer] {
         if (!reachable(order.target))
             return answer(order_outcome::lost, order_timeout);
         auto& target = m_targets.at(order.target);
@@ -238,13 +241,17 @@
                 note_done();
         });
     };
+    if (m_polls_to_lose > 0) {
+        --m_polls_to_lose;
+        return answer(poll_result{}, 2000ms);
+    }
     m_messages.emplace(m_at + delay(), [this, order, answer] {
         if (!reachable(order.target) || lost())
-            return answer(poll_result{}, order_timeout);
+            return answer(poll_result{}, poll_timeout);
         const auto result = m_targets.at(order.target).poll(m_at, order);
         note_done();
         if (lost())
-            return answer(poll_result{}, order_timeout);
+            return answer(poll_result{}, poll_timeout);
         answer(result, delay());
     });
 }
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -45,6 +45,8 @@
     void hold_writes(bool hold) { m_writes_held = hold; }
     /// While set, questions to the advice service stay without any answer.
     void hold_advice(bool hold) { m_advice_held = hold; }
+    /// The next polls, of any target, stay without an answer for two seconds.
+    void lose_polls(int count) { m_polls_to_lose = count; }
     void set_config(const std::function<void(cell_config&)>& change);
 
     /// One random event.
@@ -98,6 +100,7 @@
     std::multimap<instant, std::function<void()>> m_messages;
     milliseconds m_late{0};
     bool m_faulty = false;
+    int m_polls_to_lose = 0;
     bool m_writes_held = false;
     bool m_advice_held = false;
     std::optional<job_rows> m_rows_out;
