Wait for starts by how long they take

Cause: found in review: with a fixed 250 ms, a relay or owner that is short of its processor would be sent each start up to four times for being slow. Change: call_patience, six times the usual answer within 250 to 1,000 ms, calls given up on included. Test: one lost in twenty keeps the timeout near its least; a node that takes 800 ms is asked twice only at first.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -1,5 +1,6 @@
 #include "cell/owned_partition.h"
 
+#include "cell/call_patience.h"
 #include "cell/clocks.h"
 #include "cell/partition_rows.h"
 #include "jobs/overload_gate.h"
@@ -31,7 +32,6 @@
 /// A write without an answer for this long counts as failing.
 constexpr milliseconds slow_write{700};
 constexpr milliseconds stall_tolerated{700};
-constexpr milliseconds start_timeout{250};
 constexpr milliseconds stop_timeout{500};
 constexpr milliseconds poll_grace{1000};
 constexpr milliseconds answer_margin{30};
@@ -187,6 +187,7 @@
     /// What was decided under the lock and happens after it.
     struct outbox {
         std::vector<target_order> orders;
+        milliseconds start_timeout{0};
         std::vector<poll_order> polls;
         std::vector<advice_question> questions;
         std::vector<engine_event> events;
@@ -235,6 +236,7 @@
         out.questions = m_engine->take_questions();
         if (may_command()) {
             out.orders = m_engine->take_orders(at);
+            out.start_timeout = m_patience.timeout();
             out.polls = m_engine->take_polls(at);
         }
         if (m_engine->fenced())
@@ -246,7 +248,7 @@
         if (out.wake)
             m_wake.notify_all();
         for (const auto& order : out.orders)
-            send(order);
+            send(order, order.kind == order_kind::start ? out.start_timeout : stop_timeout);
         for (const auto& order : out.polls)
             poll(order);
         for (const auto& question : out.questions)
@@ -258,13 +260,14 @@
                       {{"request", event.job}, {"detail", event.detail}});
     }
 
-    void send(const target_order& order) {
+    void send(const target_order& order, milliseconds timeout) {
         m_environment.counters->count(order.kind == order_kind::start ? "starts_total" : "stops_total");
         const auto sent = now();
-        const auto timeout = order.kind == order_kind::start ? start_timeout : stop_timeout;
         m_environment.orders->send(order, timeout,
                                    [self = shared_from_this(), order, sent](order_outcome outcome) {
                                        self->locked([&](instant at) {
+                                           if (order.kind == order_kind::start)
+                                               self->m_patience.observe(at - sent);
                                            // Targets answer at once, so a slow answer waited here.
                                            if (outcome == order_outcome::done)
                                                self->m_gate.observe(at, at - sent);
@@ -583,6 +586,7 @@
     milliseconds m_confirmed{0}; ///< boot time
     bool m_confirm_needed = false;
     overload_gate m_gate;
+    call_patience m_patience; ///< for starts
     instant m_next_report{};
     instant m_failing_since{};
     instant m_write_sent{}; ///< of a write that is under way
