--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/call_router.h"
 #include "cell/command_relay.h"
+#include "cell/command_wire.h"
 #include "cell/partition_rows.h"
 #include "cell/relayed_targets.h"
 #include "cell/succession.h"
@@ -173,21 +174,9 @@
     }
 
     void on_advise(const pb::advice_call& call, std::function<void(pb::advice_answer)> done) override {
-        m_ports.advice->ask(call.step(), {call.targets().begin(), call.targets().end()},
-                            milliseconds{call.timeout_ms()},
-                            [done = std::move(done)](const std::optional<advice_reply>& reply) {
-                                pb::advice_answer answer;
-                                answer.set_answered(reply.has_value());
-                                if (reply) {
-                                    answer.set_valid_ms(reply->valid.count());
-                                    for (const auto& each : reply->good) {
-                                        auto& to = *answer.add_good();
-                                        to.set_target(each.target);
-                                        to.set_text(each.text);
-                                    }
-                                }
-                                done(std::move(answer));
-                            });
+        m_ports.advice->ask(
+            call.step(), {call.targets().begin(), call.targets().end()}, milliseconds{call.timeout_ms()},
+            [done = std::move(done)](const std::optional<advice_reply>& reply) { done(to_wire(reply)); });
     }
 
     void on_relay(const pb::relay_call& call, std::function<void(pb::relay_answer)> done) override {
@@ -748,20 +737,9 @@
             m_ports.advice->ask(question.step, question.targets, timeout, std::move(done));
             return;
         }
-        pb::advice_call call;
-        call.set_step(question.step);
-        for (const auto& target : question.targets)
-            call.add_targets(target);
-        call.set_timeout_ms(timeout.count());
-        m_peers.advise(address, call, timeout,
+        m_peers.advise(address, to_wire(question, timeout), timeout,
                        [done = std::move(done)](peer_delivery delivery, const pb::advice_answer& answer) {
-                           if (delivery != peer_delivery::answered || !answer.answered())
-                               return done(std::nullopt);
-                           advice_reply reply;
-                           reply.valid = milliseconds{answer.valid_ms()};
-                           for (const auto& each : answer.good())
-                               reply.good.push_back({each.target(), each.text()});
-                           done(std::move(reply));
+                           done(delivery == peer_delivery::answered ? reply_from_wire(answer) : std::nullopt);
                        });
     }
 
--- a/src/cell/command_wire.cpp
+++ b/src/cell/command_wire.cpp
@@ -122,4 +122,37 @@
     return result;
 }
 
+pb::advice_call to_wire(const advice_question& question, milliseconds timeout) {
+    pb::advice_call call;
+    call.set_step(question.step);
+    for (const auto& target : question.targets)
+        call.add_targets(target);
+    call.set_timeout_ms(timeout.count());
+    return call;
+}
+
+pb::advice_answer to_wire(const std::optional<advice_reply>& reply) {
+    pb::advice_answer answer;
+    answer.set_answered(reply.has_value());
+    if (!reply)
+        return answer;
+    answer.set_valid_ms(reply->valid.count());
+    for (const auto& each : reply->good) {
+        auto& to = *answer.add_good();
+        to.set_target(each.target);
+        to.set_text(each.text);
+    }
+    return answer;
+}
+
+std::optional<advice_reply> reply_from_wire(const pb::advice_answer& answer) {
+    if (!answer.answered())
+        return fail("the advice service gave the other node no answer");
+    advice_reply reply;
+    reply.valid = milliseconds{answer.valid_ms()};
+    for (const auto& each : answer.good())
+        reply.good.push_back({each.target(), each.text()});
+    return reply;
+}
+
 } // namespace medlarhub
--- a/src/cell/command_wire.h
+++ b/src/cell/command_wire.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "cell/ports.h"
 #include "jobs/engine.h"
 
 #include "jobs.pb.h"
 
 namespace medlarhub {
 
-// Commands to targets and their results, as nodes pass them to each other.
+// Commands to targets and questions to the advice service, with what came of them, as nodes pass them to each
+// other.
 
 pb::target_command to_wire(const target_order& order, milliseconds timeout);
 pb::target_command to_wire(const poll_order& order, milliseconds timeout);
@@ -20,4 +22,9 @@
 order_outcome outcome_from_wire(const pb::command_result& result);
 poll_result result_from_wire(const pb::command_result& result);
 
+pb::advice_call to_wire(const advice_question& question, milliseconds timeout);
+/// Nothing stands for a service that gave no answer.
+pb::advice_answer to_wire(const std::optional<advice_reply>& reply);
+std::optional<advice_reply> reply_from_wire(const pb::advice_answer& answer);
+
 } // namespace medlarhub
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -257,7 +257,7 @@
     void forget_old(instant at);
     void note(std::string what, std::string job, std::string detail);
 
-    // engine_targets.cpp: runs at targets.
+    // engine_targets.cpp and engine_ends.cpp: runs at targets.
     void release(target_state& target, const live_run& run);
     void drop_run(instant at, target_state& target, const std::string& task, std::string_view why);
     void drop_all(instant at, target_state& target, std::string_view why, bool unsure_too);
--- /dev/null
+++ b/src/jobs/engine_ends.cpp
@@ -0,0 +1,253 @@
+// Ends of runs at targets: what they list as ended, lives and leases that are over, gangs that fell apart.
+
+#include "jobs/engine.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+constexpr milliseconds failed_pause{50};
+/// Failed ends in a row, of unlike jobs, after which a target is given nothing for a while.
+constexpr int failing_after = 3;
+constexpr milliseconds failing_pause{4000};
+constexpr int failing_most_doublings = 2;
+/// After a takeover, how long members of a gang may wait for others that aren't found.
+constexpr milliseconds partial_gang_wait{1000};
+constexpr milliseconds gang_check_period{250};
+
+bool add_number(std::vector<int>& numbers, int number) {
+    if (std::ranges::find(numbers, number) != numbers.end())
+        return false;
+    numbers.push_back(number);
+    return true;
+}
+
+} // namespace
+
+// ---- Ends ----
+
+void job_engine::release(target_state& target, const live_run& run) {
+    target.held -= run.held;
+    m_held[run.team] -= run.held;
+    job_state* job = nullptr;
+    auto* step = find_step(run.task, &job);
+    if (step != nullptr)
+        std::erase(step->tasks[static_cast<std::size_t>(run.task.index)].on, target.entry.id);
+    m_changed = true;
+}
+
+void job_engine::drop_run(instant at, target_state& target, const std::string& text, std::string_view why) {
+    const auto found = target.runs.find(text);
+    if (found == target.runs.end())
+        return;
+    const auto run = found->second;
+    release(target, run);
+    target.runs.erase(found);
+    job_state* job = nullptr;
+    auto* step = find_step(run.task, &job);
+    note("run_dropped", run.task.job,
+         target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + std::string{why});
+    if (step == nullptr)
+        return;
+    auto& task = step->tasks[static_cast<std::size_t>(run.task.index)];
+    if (!run.saved.empty())
+        task.saved = run.saved;
+    task.not_before = std::max(task.not_before, at);
+    break_gang(*job, run.task);
+}
+
+void job_engine::drop_all(instant at, target_state& target, std::string_view why, bool unsure_too) {
+    std::vector<std::string> texts;
+    for (const auto& [text, run] : target.runs) {
+        const bool settled = run.phase == run_phase::running;
+        if (settled || unsure_too)
+            texts.push_back(text);
+    }
+    for (const auto& text : texts)
+        drop_run(at, target, text, why);
+    target.strays.clear();
+}
+
+void job_engine::break_gang(job_state& job, const task_name& name) {
+    if (!job.spec.steps(name.step).gang())
+        return;
+    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    if (step.open == 0)
+        return;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        const task_name member{name.job, name.occurrence, name.step, static_cast<int>(i)};
+        for (const auto& target : step.tasks[i].on) {
+            auto& run = m_targets.at(target).runs.at(member.to_string());
+            if (!run.saved.empty())
+                step.gang_saved = run.saved;
+            want_stop(run);
+        }
+    }
+}
+
+void job_engine::take_end(instant at, target_state& target, const listed_end& end) {
+    if (end.number <= target.seen_upto)
+        return;
+    target.seen_upto = end.number;
+    const auto name = parse_task_name(end.task);
+    if (!name)
+        return;
+    const auto found = target.runs.find(end.task);
+    if (found != target.runs.end() && found->second.number == end.run) {
+        const auto run = found->second;
+        target.runs.erase(found);
+        release(target, run);
+    }
+    job_state* job = nullptr;
+    auto* step = find_step(*name, &job);
+    if (step == nullptr || job->phase != pb::job_progress::open)
+        return;
+    auto& task = step->tasks[static_cast<std::size_t>(name->index)];
+    const auto& spec = job->spec.steps(name->step);
+    job->started = true;
+    task.last_run = std::max(task.last_run, end.run);
+    if (!end.saved.empty() && !task.done) {
+        task.saved = end.saved;
+        if (spec.gang())
+            step->gang_saved = end.saved;
+    }
+    if (end.how == end_kind::done && !spec.long_running()) {
+        target.failures_in_row = 0;
+        task_done(at, *job, *name, end.run);
+        return;
+    }
+    if (task.done)
+        return;
+    note("run_ended", name->job,
+         target.entry.id + " " + end.task + " run " + std::to_string(end.run) + ": " +
+             std::string{name_of(end.how)});
+    break_gang(*job, *name);
+    if (end.how == end_kind::failed)
+        run_failed(at, target, *job, *name, end.run);
+}
+
+void job_engine::run_failed(instant at, target_state& target, job_state& job, const task_name& name,
+                            int number) {
+    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    auto& task = step.tasks[static_cast<std::size_t>(name.index)];
+    const auto& spec = job.spec.steps(name.step);
+    task.avoid = target.entry.id;
+    task.not_before = at + failed_pause;
+    if (target.last_failed_job != name.job) {
+        target.last_failed_job = name.job;
+        ++target.failures_in_row;
+    }
+    if (target.failures_in_row >= failing_after) {
+        const auto doublings = std::min(target.failures_in_row - failing_after, failing_most_doublings);
+        target.avoid_until = at + failing_pause * (1 << doublings);
+        note("target_failing", {}, target.entry.id);
+    }
+    if (spec.long_running())
+        return;
+    auto& failed = spec.gang() ? step.gang_failed_runs : task.failed_runs;
+    if (!add_number(failed, number))
+        return;
+    touch(at, job, false);
+    const auto queue = m_config->queues.find(job.queue);
+    const auto attempts = queue == m_config->queues.end() ? 1 : queue->second.max_attempts;
+    if (static_cast<int>(failed.size()) >= attempts)
+        end_job(at, job, pb::job_progress::failed);
+}
+
+// ---- Lives and leases of targets ----
+
+void job_engine::new_life(instant at, target_state& target, std::int64_t born_ms) {
+    note("target_restarted", {}, target.entry.id);
+    drop_all(at, target, "its target started anew", false);
+    for (auto& [text, run] : target.runs) {
+        run.stop_confirmed = {};
+        want_stop(run);
+    }
+    target.entry.born_ms = born_ms;
+    target.seen_upto = 0;
+    target.acked_upto = 0;
+    target.granted_ms = 0;
+    target.clock_read = {};
+    target.failures_in_row = 0;
+    target.claimed = false;
+    target.next_poll = at;
+}
+
+void job_engine::check_lapses(instant at) {
+    m_stops = true;
+    for (auto it = m_targets.begin(); it != m_targets.end();) {
+        auto& target = it->second;
+        const bool lapsed = target.suspect && target.clock_read != instant{} && at >= target.lapse();
+        if (lapsed && !target.runs.empty())
+            drop_all(at, target, "its lease has lapsed", true);
+        const bool over = !target.listed && target.suspect && target.runs.empty() && !target.poll_out &&
+                          !m_unclaimed.contains(it->first);
+        if (!over) {
+            ++it;
+            continue;
+        }
+        note("target_gone", {}, it->first);
+        if (m_roster.erase(it->first) > 0)
+            m_roster_dirty = true;
+        it = m_targets.erase(it);
+    }
+}
+
+void job_engine::check_doubtful_gangs(instant at) {
+    if (!m_doubt || at < m_next_gang_check)
+        return;
+    m_next_gang_check = at + gang_check_period;
+    for (const auto& id : m_open) {
+        auto& job = m_jobs.at(id);
+        const auto& steps = job.spec.steps();
+        const bool gangs =
+            std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.gang(); });
+        if (job.doubtful && gangs)
+            break_partial_gangs(at, job);
+    }
+}
+
+void job_engine::claim_done(instant at) {
+    if (!m_doubt || (!m_unclaimed.empty() && at < m_doubt_ends))
+        return;
+    m_doubt = false;
+    note("runs_known", {}, std::to_string(m_unclaimed.size()) + " targets not reached");
+    m_unclaimed.clear();
+    for (const auto& id : m_open) {
+        auto& job = m_jobs.at(id);
+        if (!job.doubtful)
+            continue;
+        job.doubtful = false;
+        break_partial_gangs(at, job);
+    }
+    m_changed = true;
+}
+
+void job_engine::break_partial_gangs(instant at, job_state& job) {
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            std::ptrdiff_t live = 0;
+            bool worked = false;
+            auto since = at;
+            for (std::size_t index = 0; index < occurrence.steps[i].tasks.size(); ++index) {
+                const task_name member{job.spec.id(), number, static_cast<int>(i), static_cast<int>(index)};
+                for (const auto& target : occurrence.steps[i].tasks[index].on) {
+                    const auto& run = m_targets.at(target).runs.at(member.to_string());
+                    ++live;
+                    worked = worked || run.worked;
+                    since = std::min(since, run.confirmed);
+                }
+            }
+            if (live == 0 || live == static_cast<std::ptrdiff_t>(occurrence.steps[i].tasks.size()))
+                continue;
+            // The others may run where nobody looked yet.
+            if (job.doubtful && (worked || at - since < partial_gang_wait))
+                continue;
+            break_gang(job, {job.spec.id(), number, static_cast<int>(i), 0});
+        }
+    }
+}
+
+} // namespace medlarhub
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -234,3 +234,20 @@
     wire.set_outcome(99);
     CHECK(outcome_from_wire(wire) == order_outcome::lost);
 }
+
+TEST_CASE("advice is the same after the wire, no answer included", "[relay]") {
+    CHECK_FALSE(reply_from_wire(to_wire(std::optional<advice_reply>{})));
+    advice_reply reply;
+    reply.valid = 1500ms;
+    reply.good = {{"t1", "ticket"}};
+    const auto same = reply_from_wire(to_wire(std::optional{reply}));
+    REQUIRE(same);
+    CHECK(same->valid == 1500ms);
+    REQUIRE(same->good.size() == 1);
+    CHECK(same->good[0].target == "t1");
+    CHECK(same->good[0].text == "ticket");
+    const auto call = to_wire(advice_question{"j.0.1", {"t1", "t2"}, "n2", 40ms}, 900ms);
+    CHECK(call.step() == "j.0.1");
+    CHECK(call.targets_size() == 2);
+    CHECK(call.timeout_ms() == 900);
+}
