Write what callers wait for first, in its order, one entry a change

Callers waited their whole 3 s (504) while others, whose ids sort early, were served. Ruled out: several writes at a time; each replaces the head row, which is what makes late ones harmless. Change: jobs are written in order of time, those that a caller waits for first, up to 84 entries and 400 kB; a new job is one entry (its spec) and an ended one is one (its progress), the spec is dropped when there is room. Ends are acknowledged once all that waited before them is written, not only when nothing waits.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -8,7 +8,11 @@
 
 /// Progress that no caller waits for shares a later write within this time.
 constexpr milliseconds lazy_write{250};
-constexpr std::size_t rows_at_a_time = 40;
+/// What one transaction of the table takes, with some entries left for its other rows.
+constexpr std::size_t entries_at_a_time = 84;
+constexpr std::size_t bytes_at_a_time = 400'000;
+/// Of these entries, what callers don't wait for gets at least so many, for targets may forget ends after it.
+constexpr std::size_t lazy_entries = 20;
 constexpr milliseconds pass_period{100};
 constexpr milliseconds forget_period{2000};
 constexpr std::size_t forget_batch = 10;
@@ -92,11 +96,17 @@
     for (const auto& [id, spec] : specs) {
         auto& job = m_jobs[id];
         job.has_spec_row = true;
+        job.version = 1;
+        job.durable = 1;
         job.spec = spec;
         job.queue = spec.queue();
         job.team = spec.team();
-        if (job.phase != pb::job_progress::open)
+        if (job.phase != pb::job_progress::open) {
+            job.writing = job.version; // only the spec is left to be dropped
+            job.dirty = true;
+            m_dirty.push_back({++m_last_write_number, id});
             continue;
+        }
         job.doubtful = true;
         m_open.insert(id);
         const auto row = progress.find(id);
@@ -113,7 +123,7 @@
         else if (job.occurrences.empty())
             open_occurrence(at, job, 0, nullptr);
     }
-    // An open job without its spec can't be: both rows are written in one transaction.
+    // An open job without its spec can't be: the spec is written first and dropped after its end.
     std::erase_if(m_jobs, [](const auto& entry) {
         return entry.second.phase == pb::job_progress::open && !entry.second.has_spec_row;
     });
@@ -180,7 +190,6 @@
     note("job_withdrawn", id, {});
     m_open.erase(id);
     m_timed.erase(id);
-    m_dirty.erase(id);
     std::erase(m_ended, id);
     m_jobs.erase(id);
     return true;
@@ -405,19 +414,24 @@
 // ---- The table ----
 
 void job_engine::touch(instant at, job_state& job, bool awaited) {
-    if (m_dirty.empty())
-        m_dirty_since = at;
-    if (awaited)
+    const auto& id = job.spec.id();
+    if (awaited) {
         ++job.version;
+        if (!job.urgent)
+            m_urgent.push_back({++m_last_write_number, id});
+        job.urgent = true;
+    } else if (!job.dirty) {
+        if (m_dirty.empty())
+            m_dirty_since = at;
+        m_dirty.push_back({++m_last_write_number, id});
+    }
     job.dirty = true;
-    m_dirty.insert(job.spec.id());
-    m_awaited = m_awaited || awaited;
 }
 
 bool job_engine::write_due(instant at) const {
     if (m_rows_out)
         return false;
-    if (m_awaited || (m_roster_dirty && m_roster != m_roster_written) || !m_forget.empty())
+    if (!m_urgent.empty() || (m_roster_dirty && m_roster != m_roster_written) || !m_forget.empty())
         return true;
     return !m_dirty.empty() && at - m_dirty_since >= lazy_write;
 }
@@ -456,23 +470,16 @@
     m_rows_out = true;
     m_rows_taken = at;
     m_writing.clear();
-    while (!m_dirty.empty() && made.rows.size() < rows_at_a_time) {
-        const auto id = *m_dirty.begin();
-        m_dirty.erase(m_dirty.begin());
-        auto& job = m_jobs.at(id);
-        job.dirty = false;
-        job.writing = job.version;
-        job_rows::row row;
-        row.job = id;
-        if (job.phase == pb::job_progress::open && !job.has_spec_row)
-            row.spec = job.spec.SerializeAsString();
-        if (job.phase != pb::job_progress::open && job.has_spec_row)
-            row.drop_spec = true;
-        row.progress = progress_of(job).SerializeAsString();
-        job.has_spec_row = job.phase == pb::job_progress::open;
-        made.rows.push_back(std::move(row));
-        m_writing.push_back(id);
+    if (!m_pending_acks) {
+        m_pending_acks.emplace(m_last_write_number);
+        for (const auto& [id, target] : m_targets)
+            m_pending_acks->upto[id] = target.seen_upto;
     }
+    write_room room{entries_at_a_time - std::min(lazy_entries, m_dirty.size()), bytes_at_a_time};
+    fill_rows(m_urgent, room, made);
+    room.entries += std::min(lazy_entries, m_dirty.size());
+    fill_rows(m_dirty, room, made);
+    fill_rows(m_urgent, room, made);
     for (const auto& id : m_forget) {
         job_rows::row row;
         row.job = id;
@@ -488,15 +495,54 @@
         m_roster_written = m_roster;
     }
     m_roster_dirty = false;
-    m_awaited = !m_dirty.empty() && m_awaited;
     m_acks_writing.clear();
-    if (m_dirty.empty()) {
-        for (const auto& [id, target] : m_targets)
-            m_acks_writing[id] = target.seen_upto;
-    }
+    const auto written = [&](const std::deque<waiting_write>& queue) {
+        return queue.empty() || queue.front().number > m_pending_acks->number;
+    };
+    if (written(m_urgent) && written(m_dirty))
+        m_acks_writing = std::exchange(m_pending_acks, std::nullopt)->upto;
     return made;
 }
 
+void job_engine::fill_rows(std::deque<waiting_write>& from, write_room& room, job_rows& to) {
+    while (!from.empty() && room.entries > 0 && room.bytes > 0) {
+        const auto id = from.front().job;
+        from.pop_front();
+        auto* job = find(id);
+        if (job == nullptr || !job->dirty)
+            continue;
+        auto row = next_row(*job);
+        const auto size = (row.spec ? row.spec->size() : 0) + (row.progress ? row.progress->size() : 0);
+        room.bytes -= std::min(room.bytes, size);
+        --room.entries;
+        to.rows.push_back(std::move(row));
+        m_writing.push_back(id);
+    }
+}
+
+/// One entry: the spec of a job that is new, else its progress; the spec of an ended one goes after that.
+job_rows::row job_engine::next_row(job_state& job) {
+    job_rows::row row;
+    row.job = job.spec.id();
+    const bool ended = job.phase != pb::job_progress::open;
+    const bool end_told = ended && !job.urgent && job.writing == job.version;
+    if (end_told && job.has_spec_row) {
+        row.drop_spec = true;
+        job.has_spec_row = false;
+    } else if (!ended && !job.has_spec_row) {
+        row.spec = job.spec.SerializeAsString();
+        job.has_spec_row = true;
+    } else {
+        row.progress = progress_of(job).SerializeAsString();
+    }
+    job.writing = job.version;
+    job.urgent = false;
+    job.dirty = ended && job.has_spec_row;
+    if (job.dirty)
+        m_dirty.push_back({++m_last_write_number, row.job});
+    return row;
+}
+
 void job_engine::rows_written(instant at) {
     m_rows_out = false;
     for (const auto& id : m_writing) {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -231,7 +231,19 @@
         std::uint64_t version = 0; ///< of what callers may be told
         std::uint64_t writing = 0;
         std::uint64_t durable = 0;
-        bool dirty = false;
+        bool dirty = false;  ///< something of it is to be written
+        bool urgent = false; ///< and a caller waits for it
+    };
+
+    struct waiting_write {
+        std::uint64_t number = 0; ///< in order of time
+        std::string job;
+    };
+
+    /// What is left of a transaction.
+    struct write_room {
+        std::size_t entries = 0;
+        std::size_t bytes = 0;
     };
 
     struct ready_step {
@@ -253,6 +265,8 @@
     void end_job(instant at, job_state& job, pb::job_progress::phase phase);
     void stop_runs(job_state& job);
     void touch(instant at, job_state& job, bool awaited);
+    void fill_rows(std::deque<waiting_write>& from, write_room& room, job_rows& to);
+    job_rows::row next_row(job_state& job);
     [[nodiscard]] static pb::job_progress progress_of(const job_state& job);
     void forget_old(instant at);
     void note(std::string what, std::string job, std::string detail);
@@ -327,9 +341,16 @@
     };
     std::vector<placed_order> m_starts;
 
-    std::set<std::string> m_dirty;
-    bool m_awaited = false; ///< a caller waits for one of them
+    std::deque<waiting_write> m_urgent; ///< what callers wait for is written first, each in its order
+    std::deque<waiting_write> m_dirty;
+    std::uint64_t m_last_write_number = 0;
     instant m_dirty_since{};
+    /// Ends that may be acknowledged once all that waited for writing up to `number` is written.
+    struct pending_acks {
+        std::uint64_t number = 0;
+        std::map<std::string, std::int64_t> upto;
+    };
+    std::optional<pending_acks> m_pending_acks;
     std::vector<std::string> m_writing;
     std::map<std::string, std::int64_t> m_acks_writing;
     bool m_rows_out = false;
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -6,8 +6,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <numeric>
-
 using namespace medlarhub;
 using namespace medlarhub::testing;
 using namespace std::chrono_literals;
@@ -355,21 +353,117 @@
     }
 }
 
+TEST_CASE("what callers wait for is written first and in its order, the rest is never starved",
+          "[engine][load]") {
+    job_engine engine{{}};
+    job_world world{{.targets = 1, .work = 10s}, 20}; // for a configuration
+    world.set_config([&](cell_config& config) { engine.set_config(std::make_shared<cell_config>(config)); });
+    constexpr int jobs = 250;
+    // Ids that sort against the order of arrival.
+    const auto id_of = [](int i) { return "j" + std::to_string(1000 - i); };
+    for (int i = 0; i < jobs; ++i)
+        REQUIRE(engine.accept(start, simple_job(id_of(i), {simple_step(1, 100)})) ==
+                accept_outcome::accepted);
+    std::vector<std::string> written;
+    while (engine.write_due(start)) {
+        const auto rows = engine.take_rows(start);
+        CHECK(rows.rows.size() <= 90);
+        for (const auto& row : rows.rows) {
+            CHECK(row.spec.has_value());
+            CHECK_FALSE(row.progress.has_value());
+            written.push_back(row.job);
+        }
+        engine.rows_written(start);
+    }
+    REQUIRE(written.size() == jobs);
+    for (int i = 0; i < jobs; ++i)
+        CHECK(written[static_cast<std::size_t>(i)] == id_of(i));
+
+    // Ends are told first; their specs are dropped beside them, not before.
+    for (int i = 0; i < jobs; ++i)
+        REQUIRE(engine.cancel(start, id_of(i)));
+    std::size_t told = 0;
+    std::size_t dropped = 0;
+    bool first = true;
+    while (engine.write_due(start + 1s)) {
+        for (const auto& row : engine.take_rows(start + 1s).rows) {
+            told += row.progress ? 1 : 0;
+            dropped += row.drop_spec ? 1 : 0;
+        }
+        CHECK(dropped <= told);
+        CHECK((!first || told > 60));
+        first = false;
+        engine.rows_written(start + 1s);
+    }
+    CHECK(told == jobs);
+    CHECK(dropped == jobs);
+    CHECK(engine.durable(id_of(7)));
+}
+
+TEST_CASE("large jobs are written in several transactions", "[engine]") {
+    job_engine engine{{}};
+    job_world world{{.targets = 1}, 21};
+    world.set_config([&](cell_config& config) { engine.set_config(std::make_shared<cell_config>(config)); });
+    constexpr std::size_t largest_body = 1 << 18;
+    for (int i = 0; i < 5; ++i) {
+        auto job = simple_job("j" + std::to_string(i), {simple_step(1, 100)});
+        job.set_body(std::string(largest_body, 'x'));
+        REQUIRE(engine.accept(start, job) == accept_outcome::accepted);
+    }
+    int written = 0;
+    while (engine.write_due(start)) {
+        std::size_t bytes = 0;
+        for (const auto& row : engine.take_rows(start).rows) {
+            bytes += row.spec->size();
+            ++written;
+        }
+        CHECK(bytes < 700'000); // of 1 MB, in base64
+        engine.rows_written(start);
+    }
+    CHECK(written == 5);
+}
+
+TEST_CASE("a gang that ended on a silent target doesn't run again once that is known", "[engine][late]") {
+    auto gang = simple_step(2, 1000);
+    gang.set_gang(true);
+    job_world world{{.targets = 2}, 22};
+    const auto await = [&](const std::string& event) {
+        for (int i = 0; i < 1000; ++i) {
+            world.run_for(20ms);
+            for (const auto& each : world.owner().take_events()) {
+                if (each.what == event)
+                    return true;
+            }
+        }
+        return false;
+    };
+    world.submit(simple_job("j", {gang}));
+    world.run_for(100ms);
+    REQUIRE(world.starts().size() == 2);
+    const auto where = world.starts().front().substr(world.starts().front().find('@') + 1);
+    REQUIRE(world.starts().back().ends_with(where));
+    world.silence(where, 60s);
+    world.delay_orders(60s);
+    REQUIRE(await("run_dropped")); // its lease has lapsed, it is started elsewhere, without an answer yet
+    world.silence(where, 0ms);
+    REQUIRE(await("job_ended"));
+    world.delay_orders(0ms);
+    world.run_for(5s);
+    CHECK(world.starts().size() == 2);
+    CHECK(world.violation().empty());
+}
+
 TEST_CASE("promises hold over random orders of faults", "[engine][faults]") {
-    constexpr std::uint64_t worlds = 1000;
+    constexpr int worlds = 1000;
     constexpr int faults = 60;
-    // The last two went wrong once: a gang that had ended on a silent target was started again.
-    std::vector<std::uint64_t> seeds(worlds);
-    std::iota(seeds.begin(), seeds.end(), 1);
-    seeds.insert(seeds.end(), {3654, 16623});
-    for (const auto seed : seeds) {
+    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
         INFO("seed " << seed);
         job_world world{{}, seed};
         for (int i = 0; i < faults && world.violation().empty(); ++i)
             world.fault();
         world.heal(60s);
-        CHECK(world.violation() == "");
-        CHECK(world.open().empty());
+        REQUIRE(world.violation() == "");
+        REQUIRE(world.open().empty());
     }
 }
 
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -62,7 +62,10 @@
 
 void job_world::take_over() {
     engine_options made;
-    m_rows_out.reset();
+    // A write that is out when its owner dies is done or not.
+    const auto out = std::exchange(m_rows_out, std::nullopt);
+    if (out && m_random() % 2 == 0)
+        apply(*out);
     made.epoch = ++m_epoch;
     made.unknown_runs = unknown_runs;
     m_owner = std::make_shared<job_engine>(made);
@@ -133,30 +136,36 @@
     while (m_rows_out || m_owner->write_due(m_at)) {
         if (!m_rows_out)
             m_rows_out = m_owner->take_rows(m_at);
-        if (m_writes_held)
+        if (m_writes_held || m_at < m_writes_back)
             return;
         const auto rows = *std::exchange(m_rows_out, std::nullopt);
+        apply(rows);
         for (const auto& row : rows.rows) {
-            if (row.spec)
-                m_specs[row.job].ParseFromString(*row.spec);
-            if (row.progress)
-                m_progress[row.job].ParseFromString(*row.progress);
-            if (row.drop_spec)
-                m_specs.erase(row.job);
-            if (row.drop_progress)
-                m_progress.erase(row.job);
-            if (row.progress && m_submitted.contains(row.job))
+            if ((row.spec || row.progress) && m_submitted.contains(row.job))
                 m_accepted.insert(row.job);
         }
-        if (rows.roster) {
-            pb::roster roster;
-            roster.ParseFromString(*rows.roster);
-            m_roster.assign(roster.targets().begin(), roster.targets().end());
-        }
         m_owner->rows_written(m_at);
     }
 }
 
+void job_world::apply(const job_rows& rows) {
+    for (const auto& row : rows.rows) {
+        if (row.spec)
+            m_specs[row.job].ParseFromString(*row.spec);
+        if (row.progress)
+            m_progress[row.job].ParseFromString(*row.progress);
+        if (row.drop_spec)
+            m_specs.erase(row.job);
+        if (row.drop_progress)
+            m_progress.erase(row.job);
+    }
+    if (rows.roster) {
+        pb::roster roster;
+        roster.ParseFromString(*rows.roster);
+        m_roster.assign(roster.targets().begin(), roster.targets().end());
+    }
+}
+
 void job_world::pump() {
     write_rows();
     for (const auto& order : m_owner->take_orders(m_at))
@@ -289,7 +298,7 @@
     m_faulty = true;
     const auto pick = [&](std::uint64_t most) { return m_random() % most; };
     const auto any_target = "t" + std::to_string(pick(m_targets.size()));
-    constexpr std::uint64_t kinds = 12;
+    constexpr std::uint64_t kinds = 13;
     switch (pick(kinds)) {
     case 0:
         take_over();
@@ -313,6 +322,9 @@
         submit(simple_job("j" + std::to_string(m_submitted.size()), {step}));
         break;
     }
+    case 6: // The table is slow.
+        m_writes_back = m_at + milliseconds{static_cast<int>(pick(1500))};
+        break;
     default:
         run_for(milliseconds{static_cast<int>(pick(600))});
     }
@@ -320,6 +332,7 @@
 
 void job_world::heal(milliseconds time) {
     m_faulty = false;
+    m_writes_back = {};
     m_silent.clear();
     m_late = 0ms;
     run_for(time);
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -72,6 +72,7 @@
     void step();
     void pump();
     void write_rows();
+    void apply(const job_rows& rows);
     void send(const target_order& order);
     void poll(const poll_order& order);
     void carry_out(const target_order& order);
@@ -102,6 +103,7 @@
     bool m_faulty = false;
     int m_polls_to_lose = 0;
     bool m_writes_held = false;
+    instant m_writes_back{}; ///< no write is done before that
     bool m_advice_held = false;
     std::optional<job_rows> m_rows_out;
     std::vector<std::string> m_starts;
