Add medlarhub explain: what became of a request, from the logs of all nodes

It orders the lines of one request, puts beside them what happened to owners, relays, the table and the targets of its tasks, with the load that the owner knew and its age, and sums up.

--- /dev/null
+++ b/src/explain/explain.cpp
@@ -0,0 +1,267 @@
+#include "explain/explain.h"
+
+#include "medlarhub/reason.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace medlarhub {
+
+namespace {
+
+/// What happened to a node or a target this long before the request's first line may still be its cause.
+constexpr milliseconds earlier_causes{3000};
+
+std::optional<milliseconds> parse_time(const std::string& text) {
+    int year = 0;
+    unsigned month = 0;
+    unsigned day = 0;
+    int hour = 0;
+    int minute = 0;
+    int second = 0;
+    int ms = 0;
+    constexpr int fields = 7;
+    // NOLINTNEXTLINE(cert-err34-c): the count of fields read is the check.
+    if (std::sscanf(text.c_str(), "%d-%u-%uT%d:%d:%d.%dZ", &year, &month, &day, &hour, &minute, &second,
+                    &ms) != fields)
+        return fail("a line without a time: " + text);
+    const std::chrono::sys_days date{std::chrono::year{year} / std::chrono::month{month} /
+                                     std::chrono::day{day}};
+    return std::chrono::duration_cast<milliseconds>(date.time_since_epoch() + std::chrono::hours{hour} +
+                                                    std::chrono::minutes{minute} +
+                                                    std::chrono::seconds{second}) +
+           milliseconds{ms};
+}
+
+std::string seconds(milliseconds time) {
+    constexpr double ms_a_second = 1000;
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << static_cast<double>(time.count()) / ms_a_second << " s";
+    return text.str();
+}
+
+std::string field(const log_line& line, const std::string& name) {
+    const auto found = line.fields.find(name);
+    return found == line.fields.end() ? std::string{"?"} : found->second;
+}
+
+std::string because(const std::string& reason) {
+    return reason.empty() || reason == "?" ? std::string{} : ": " + reason;
+}
+
+/// The words for lines about one request.
+std::string words_of_request(const log_line& line) {
+    const auto detail = field(line, "detail");
+    if (line.event == "answered")
+        return "answers " + field(line, "status") + " to " + field(line, "call") + " after " +
+               field(line, "ms") + " ms" + because(field(line, "reason"));
+    if (line.event == "job_refused")
+        return "refuses it, it never runs" + because(field(line, "reason"));
+    if (line.event == "job_withdrawn")
+        return "takes it back before it was recorded, it never runs";
+    if (line.event == "call_given_up")
+        return "gives the call up, no owner was reached; " +
+               std::string{field(line, "maybe_recorded") == "true" ? "it may have been recorded"
+                                                                   : "it surely reached none"};
+    if (line.event == "task_placed")
+        return "places a task: " + detail;
+    if (line.event == "start_refused")
+        return "a start had no success: " + detail;
+    if (line.event == "run_ended")
+        return "a run ended without being done: " + detail;
+    if (line.event == "run_dropped")
+        return "gives a run up, its task runs anew: " + detail;
+    if (line.event == "stray_run")
+        return "stops a run that nobody wants: " + detail;
+    if (line.event == "step_done")
+        return "a step is done: " + detail;
+    if (line.event == "job_ended")
+        return "the job has ended: " + detail;
+    return line.event + because(detail);
+}
+
+/// The words for lines about a node or target that may be causes; empty for all others.
+std::string words_of_cause(const log_line& line) {
+    if (line.event == "partition_taken")
+        return "becomes the owner, epoch " + field(line, "epoch") + ", with " + field(line, "open") +
+               " open jobs";
+    if (line.event == "partition_closed")
+        return "is no owner any more" + because(field(line, "reason"));
+    if (line.event == "runs_known")
+        return "knows what runs: " + field(line, "detail");
+    if (line.event == "table_lost")
+        return "loses the table" + because(field(line, "reason"));
+    if (line.event == "table_back")
+        return "has the table back";
+    if (line.event == "owner_stalled")
+        return "stood still and commands nobody until it is confirmed as owner";
+    if (line.event == "relay_failed")
+        return "loses its relay " + field(line, "relay") + ", " + field(line, "lost") + " commands in it";
+    if (line.event == "started")
+        return "starts";
+    if (line.event == "leaving")
+        return "was told to stop";
+    return {};
+}
+
+std::string words_of_target(const log_line& line) {
+    static const std::map<std::string, std::string> words{
+        {"target_suspect", "a target is silent: "},
+        {"target_back", "a target answers again: "},
+        {"target_restarted", "a target started anew: "},
+        {"target_failing", "a target fails all it is given: "},
+        {"target_gone", "a target is gone: "}};
+    const auto found = words.find(line.event);
+    return found == words.end() ? std::string{} : found->second + field(line, "detail");
+}
+
+std::string load_words(const log_line& load, milliseconds age) {
+    return " (" + seconds(age) + " before: " + field(load, "waiting_tasks") + " tasks waited, " +
+           field(load, "held_cpu_milli") + " of " + field(load, "capacity_cpu_milli") +
+           " thousandths of a core held, starts took " + field(load, "round_trip_ms") + " ms)";
+}
+
+class explainer {
+public:
+    explainer(std::vector<log_line> lines, const std::string& id) : m_lines{std::move(lines)}, m_id{id} {
+        std::ranges::stable_sort(m_lines, {}, &log_line::at);
+    }
+
+    std::optional<explanation> run() {
+        for (const auto& line : m_lines) {
+            if (about(line))
+                note_range(line);
+        }
+        if (!m_found)
+            return fail("no line is about " + m_id);
+        explanation made;
+        for (const auto& line : m_lines) {
+            if (line.event == "partition_load")
+                m_loads[line.node] = &line;
+            if (line.at < m_first - earlier_causes || line.at > m_last)
+                continue;
+            auto text = words(line);
+            if (!text.empty())
+                made.lines.push_back({line.time, line.at - m_first, line.node, std::move(text)});
+        }
+        made.summary = summary();
+        return made;
+    }
+
+private:
+    [[nodiscard]] bool about(const log_line& line) const {
+        const auto found = line.fields.find("request");
+        return found != line.fields.end() && found->second == m_id;
+    }
+
+    void note_range(const log_line& line) {
+        if (!m_found)
+            m_first = line.at;
+        m_found = true;
+        m_last = line.at;
+        if (line.event == "answered" && field(line, "call") == "submit" && field(line, "status") == "200" &&
+            !m_accepted)
+            m_accepted = line.at;
+        if (line.event == "job_refused")
+            m_refused = true;
+        if (line.event == "job_ended") {
+            m_ended = line.at;
+            m_end = field(line, "detail");
+        }
+        if (line.event != "task_placed" && line.event != "start_refused" && line.event != "run_ended" &&
+            line.event != "run_dropped")
+            return;
+        const auto detail = field(line, "detail");
+        m_targets.insert(detail.substr(0, detail.find(' ')));
+        if (line.event != "task_placed") {
+            ++m_repeats;
+            return;
+        }
+        ++m_placed;
+        if (!m_started)
+            m_started = line.at;
+    }
+
+    std::string words(const log_line& line) {
+        if (!about(line)) {
+            const auto target = words_of_target(line);
+            if (!target.empty())
+                return m_targets.contains(field(line, "detail")) ? target : std::string{};
+            return words_of_cause(line);
+        }
+        auto text = words_of_request(line);
+        const bool first_start = line.event == "task_placed" && !std::exchange(m_told_load, true);
+        const auto load = m_loads.find(line.node);
+        if ((first_start || line.event == "job_refused") && load != m_loads.end())
+            text += load_words(*load->second, line.at - load->second->at);
+        return text;
+    }
+
+    [[nodiscard]] std::string summary() const {
+        std::string text = m_accepted  ? "Accepted."
+                           : m_refused ? "Refused; it never ran."
+                                       : "No acceptance is on record.";
+        if (m_accepted && m_started)
+            text += " Its first task was placed " +
+                    seconds(std::max(*m_started - *m_accepted, milliseconds{0})) + " after that.";
+        if (m_placed > 0)
+            text += " " + std::to_string(m_placed) + " tasks were placed, " + std::to_string(m_repeats) +
+                    " starts or runs had no success.";
+        if (m_ended)
+            text += " It ended as " + m_end + ", " + seconds(*m_ended - m_first) + " after its first line.";
+        else if (m_placed > 0)
+            text += " No end is on record.";
+        return text;
+    }
+
+    std::vector<log_line> m_lines;
+    std::string m_id;
+    bool m_found = false;
+    milliseconds m_first{0};
+    milliseconds m_last{0};
+    std::optional<milliseconds> m_accepted;
+    std::optional<milliseconds> m_started;
+    std::optional<milliseconds> m_ended;
+    std::string m_end;
+    bool m_refused = false;
+    bool m_told_load = false;
+    int m_placed = 0;
+    int m_repeats = 0;
+    std::set<std::string> m_targets;
+    std::map<std::string, const log_line*> m_loads; ///< the latest one of each node
+};
+
+} // namespace
+
+std::optional<log_line> parse_log_line(std::string_view text) {
+    const auto begin = text.find('{');
+    if (begin == std::string_view::npos)
+        return fail("no JSON in the line");
+    const auto json = nlohmann::json::parse(text.substr(begin), nullptr, false);
+    if (!json.is_object())
+        return fail("the line's JSON can't be read");
+    log_line line;
+    for (const auto& [name, value] : json.items()) {
+        if (value.is_string())
+            line.fields[name] = value.get<std::string>();
+    }
+    line.time = field(line, "time");
+    line.node = field(line, "node");
+    line.event = field(line, "event");
+    const auto at = parse_time(line.time);
+    if (!at)
+        return {};
+    line.at = *at;
+    return line;
+}
+
+std::optional<explanation> explain_request(std::vector<log_line> lines, const std::string& id) {
+    return explainer{std::move(lines), id}.run();
+}
+
+} // namespace medlarhub
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include "callers/caller_api.h"
+#include "explain/explain_command.h"
 #include "http/server.h"
 #include "log.h"
 #include "node/node.h"
@@ -101,6 +102,7 @@
     });
 
     add_commands(app, code);
+    add_explain_command(app, code);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- /dev/null
+++ b/test/explain_test.cpp
@@ -0,0 +1,82 @@
+#include "explain/explain.h"
+
+#include <catch2/catch.hpp>
+
+using namespace medlarhub;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<log_line> lines_of(const std::vector<std::string>& texts) {
+    std::vector<log_line> lines;
+    for (const auto& text : texts) {
+        const auto line = parse_log_line(text);
+        REQUIRE(line);
+        lines.push_back(*line);
+    }
+    return lines;
+}
+
+std::string text_of(const explanation& told) {
+    std::string all;
+    for (const auto& line : told.lines)
+        all += line.node + " " + line.text + "\n";
+    return all;
+}
+
+const std::string accepted =
+    R"({"time":"2026-04-05T11:24:33.254Z","node":"n2","event":"answered","request":"j1","call":"submit","status":"200","reason":"","ms":"42"})";
+const std::string placed =
+    R"(  47.26 n1 {"time":"2026-04-05T11:24:34.300Z","node":"n1","event":"task_placed","request":"j1","detail":"t9 j1.0.0.0 run 3001, free cpu_milli 100"})";
+const std::string lost_start =
+    R"({"time":"2026-04-05T11:24:34.800Z","node":"n1","event":"start_refused","request":"j1","detail":"t9 j1.0.0.0 run 3001: answer lost"})";
+const std::string ended =
+    R"({"time":"2026-04-05T11:24:36.000Z","node":"n1","event":"job_ended","request":"j1","detail":"completed"})";
+const std::string load =
+    R"({"time":"2026-04-05T11:24:33.800Z","node":"n1","event":"partition_load","waiting_tasks":"20","held_cpu_milli":"5","capacity_cpu_milli":"9","round_trip_ms":"3"})";
+const std::string taken =
+    R"({"time":"2026-04-05T11:24:34.000Z","node":"n1","event":"partition_taken","epoch":"4","open":"7"})";
+const std::string silent =
+    R"({"time":"2026-04-05T11:24:34.500Z","node":"n1","event":"target_suspect","detail":"t9"})";
+const std::string other_silent =
+    R"({"time":"2026-04-05T11:24:34.500Z","node":"n1","event":"target_suspect","detail":"t8"})";
+const std::string other_job =
+    R"({"time":"2026-04-05T11:24:34.400Z","node":"n1","event":"task_placed","request":"j11","detail":"t9 j11.0.0.0 run 1"})";
+
+} // namespace
+
+TEST_CASE("a request is told in order of time with the causes beside it and nothing else", "[explain]") {
+    const auto told = explain_request(
+        lines_of({ended, lost_start, other_job, other_silent, silent, taken, load, placed, accepted}), "j1");
+    REQUIRE(told);
+    CHECK(
+        text_of(*told) ==
+        "n2 answers 200 to submit after 42 ms\n"
+        "n1 becomes the owner, epoch 4, with 7 open jobs\n"
+        "n1 places a task: t9 j1.0.0.0 run 3001, free cpu_milli 100 (0.500 s before: 20 tasks waited, 5 of 9 "
+        "thousandths of a core held, starts took 3 ms)\n"
+        "n1 a target is silent: t9\n"
+        "n1 a start had no success: t9 j1.0.0.0 run 3001: answer lost\n"
+        "n1 the job has ended: completed\n");
+    CHECK(told->lines.back().after == 2746ms);
+    CHECK(told->summary ==
+          "Accepted. Its first task was placed 1.046 s after that. 1 tasks were placed, 1 starts or "
+          "runs had no success. It ended as completed, 2.746 s after its first line.");
+}
+
+TEST_CASE("refused and unknown requests are told apart", "[explain]") {
+    const auto told = explain_request(
+        lines_of(
+            {R"({"time":"2026-04-05T11:24:33.200Z","node":"n1","event":"table_lost","reason":"503"})",
+             R"({"time":"2026-04-05T11:24:33.250Z","node":"n1","event":"job_refused","request":"j1","reason":"the table is out"})"}),
+        "j1");
+    REQUIRE(told);
+    CHECK(text_of(*told) == "n1 loses the table: 503\nn1 refuses it, it never runs: the table is out\n");
+    CHECK(told->summary == "Refused; it never ran.");
+    CHECK_FALSE(explain_request(lines_of({accepted}), "j2"));
+}
+
+TEST_CASE("what is no log line is said to be none", "[explain]") {
+    const auto* text = GENERATE("", "no json", "{", "[]", R"({"event":"x"})", R"({"time":"yesterday"})");
+    CHECK_FALSE(parse_log_line(text));
+}
