Send polls of a failed relay straight at once, and tell recorded jobs from refused ones in explain

A poll may be sent twice; starts stay lost, and the engine sends them again itself. explain called a job refused whose later call had been recorded, with its answer lost.

--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -31,7 +31,7 @@
     struct open_command {
         pb::target_command command;
         result_callback done;
-        std::function<void()> go_straight; ///< for a command that surely reached nobody
+        std::function<void()> go_straight; ///< sends it without a relay
         instant expires{};
     };
 
@@ -207,8 +207,11 @@
                 if (auto node = lane.open.extract(number))
                     unsent.push_back(std::move(node.mapped()));
             }
-            for (auto& [number, open] : std::exchange(lane.open, {}))
-                lost.push_back(std::move(open));
+            // A poll does no harm twice, so that nobody has to wait for its loss to be noticed.
+            for (auto& [number, open] : std::exchange(lane.open, {})) {
+                const bool repeatable = open.command.what() == pb::target_command::poll;
+                (repeatable ? unsent : lost).push_back(std::move(open));
+            }
             ++lane.session;
             lane.calls_out = 0;
             lane.passed_by_until = now() + relay_penalty;
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -169,6 +169,8 @@
             m_accepted = line.at;
         if (line.event == "job_refused")
             m_refused = true;
+        if (line.event == "answered" && field(line, "call") == "submit" && field(line, "status") == "504")
+            m_answer_lost = true;
         if (line.event == "job_ended") {
             m_ended = line.at;
             m_end = field(line, "detail");
@@ -202,10 +204,18 @@
         return text;
     }
 
+    [[nodiscard]] std::string fate() const {
+        if (m_accepted)
+            return "Accepted.";
+        if (m_placed > 0)
+            return "It was recorded, though no caller was told so.";
+        if (m_answer_lost)
+            return "It may have been recorded, but nothing was done of it.";
+        return m_refused ? "Refused; it never ran." : "No acceptance is on record.";
+    }
+
     [[nodiscard]] std::string summary() const {
-        std::string text = m_accepted  ? "Accepted."
-                           : m_refused ? "Refused; it never ran."
-                                       : "No acceptance is on record.";
+        std::string text = fate();
         if (m_accepted && m_started)
             text += " Its first task was placed " +
                     seconds(std::max(*m_started - *m_accepted, milliseconds{0})) + " after that.";
@@ -229,6 +239,7 @@
     std::optional<milliseconds> m_ended;
     std::string m_end;
     bool m_refused = false;
+    bool m_answer_lost = false;
     bool m_told_load = false;
     int m_placed = 0;
     int m_repeats = 0;
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -126,6 +126,21 @@
     CHECK(owner.got.at(3) == outcomes{order_outcome::done});
 }
 
+TEST_CASE("polls that a failed relay had are sent straight at once", "[relay][recovery]") {
+    relayed_owner owner;
+    poll_order order;
+    order.target = "t1";
+    std::vector<order_outcome> got;
+    owner.targets.poll(order, 1000ms, [&](const poll_result& result) { got.push_back(result.outcome); });
+    REQUIRE(owner.calls.size() == 1);
+    owner.calls[0].done(peer_delivery::lost, {});
+    REQUIRE(owner.straight.polls.size() == 1);
+    poll_result result;
+    result.outcome = order_outcome::done;
+    owner.straight.poll_answers[0](result);
+    CHECK(got == outcomes{order_outcome::done});
+}
+
 TEST_CASE("a command whose result never comes is lost after its time, once", "[relay]") {
     relayed_owner owner;
     owner.start(1);
--- a/test/explain_test.cpp
+++ b/test/explain_test.cpp
@@ -76,6 +76,19 @@
     CHECK_FALSE(explain_request(lines_of({accepted}), "j2"));
 }
 
+TEST_CASE("a job that ran without an answer to its caller is not called refused", "[explain]") {
+    const auto refused = std::string{
+        R"({"time":"2026-04-05T11:24:33.000Z","node":"n1","event":"job_refused","request":"j1","reason":"x"})"};
+    const auto lost = std::string{
+        R"({"time":"2026-04-05T11:24:33.900Z","node":"n2","event":"answered","request":"j1","call":"submit","status":"504","ms":"9"})"};
+    const auto ran = explain_request(lines_of({refused, lost, placed}), "j1");
+    REQUIRE(ran);
+    CHECK(ran->summary.starts_with("It was recorded, though no caller was told so. 1 tasks"));
+    const auto open = explain_request(lines_of({refused, lost}), "j1");
+    REQUIRE(open);
+    CHECK(open->summary == "It may have been recorded, but nothing was done of it.");
+}
+
 TEST_CASE("what is no log line is said to be none", "[explain]") {
     const auto* text = GENERATE("", "no json", "{", "[]", R"({"event":"x"})", R"({"time":"yesterday"})");
     CHECK_FALSE(parse_log_line(text));
