--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -55,25 +55,9 @@
     }
 
     void add(open_command open) {
-        const auto at = now();
-        std::vector<outgoing> calls;
-        {
-            const std::lock_guard lock{m_mutex};
-            const auto relay = relay_of(at, open.command.target());
-            if (!relay.empty()) {
-                auto& lane = m_lanes.at(relay);
-                open.command.set_number(++m_last_number);
-                open.expires = at + milliseconds{open.command.timeout_ms()} + result_slack;
-                lane.unsent.push_back(m_last_number);
-                lane.open.emplace(m_last_number, std::move(open));
-                if (at - lane.sent >= relay_spacing)
-                    calls.push_back(next_call(at, relay, lane));
-                open.go_straight = nullptr;
-            }
-        }
-        send_all(calls);
-        if (open.go_straight)
-            open.go_straight();
+        const auto go_straight = open.go_straight;
+        if (!relayed(std::move(open)))
+            go_straight();
     }
 
     void tick(instant at) {
@@ -135,6 +119,27 @@
         return rendezvous(relays, target);
     }
 
+    /// False when there is no relay for its target.
+    bool relayed(open_command open) {
+        const auto at = now();
+        std::vector<outgoing> calls;
+        {
+            const std::lock_guard lock{m_mutex};
+            const auto relay = relay_of(at, open.command.target());
+            if (relay.empty())
+                return false;
+            auto& lane = m_lanes.at(relay);
+            open.command.set_number(++m_last_number);
+            open.expires = at + milliseconds{open.command.timeout_ms()} + result_slack;
+            lane.unsent.push_back(m_last_number);
+            lane.open.emplace(m_last_number, std::move(open));
+            if (at - lane.sent >= relay_spacing)
+                calls.push_back(next_call(at, relay, lane));
+        }
+        send_all(calls);
+        return true;
+    }
+
     outgoing next_call(instant at, const std::string& relay, relay_lane& to) {
         outgoing next{relay, to.session, to.address, {}, std::exchange(to.unsent, {})};
         next.call.set_session(m_name + "/" + relay + "/" + std::to_string(to.session));
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -471,7 +471,7 @@
     m_rows_taken = at;
     m_writing.clear();
     if (!m_pending_acks) {
-        m_pending_acks.emplace(m_last_write_number);
+        m_pending_acks = pending_acks{m_last_write_number, {}};
         for (const auto& [id, target] : m_targets)
             m_pending_acks->upto[id] = target.seen_upto;
     }
