Forget relays that left

A lane for each node ever seen stayed in memory; session numbers are never used again, so that a late answer of a node that left and came back meets nothing.

--- a/src/cell/call_router.h
+++ b/src/cell/call_router.h
@@ -7,7 +7,10 @@
 #include "jobs.pb.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace medlarhub {
--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <utility>
 
 namespace medlarhub {
@@ -41,10 +42,18 @@
     void set_relays(const std::vector<relay_node>& nodes) {
         const std::lock_guard lock{m_mutex};
         m_relays.clear();
+        std::set<std::string> live;
         for (const auto& node : nodes) {
+            live.insert(node.id);
             m_relays[node.data_centre].push_back(node.id);
-            m_lanes[node.id].address = node.address;
+            auto& lane = m_lanes[node.id];
+            lane.address = node.address;
+            if (lane.session == 0)
+                lane.session = ++m_last_session;
         }
+        std::erase_if(m_lanes, [&](const auto& each) {
+            return !live.contains(each.first) && each.second.open.empty() && each.second.calls_out == 0;
+        });
     }
 
     void set_targets(const std::vector<target_entry>& targets) {
@@ -90,7 +99,7 @@
     /// What is out through one relay.
     struct relay_lane {
         std::string address;
-        std::uint64_t session = 0; ///< a new one after each failure
+        std::uint64_t session = 0; ///< a new one after each failure, never used again
         std::map<std::uint64_t, open_command> open;
         std::vector<std::uint64_t> unsent;
         int calls_out = 0;
@@ -167,9 +176,10 @@
         std::vector<std::pair<result_callback, const pb::command_result*>> finished;
         {
             const std::lock_guard lock{m_mutex};
-            auto& lane = m_lanes.at(relay);
-            if (lane.session != session)
+            const auto known = m_lanes.find(relay);
+            if (known == m_lanes.end() || known->second.session != session)
                 return;
+            auto& lane = known->second;
             --lane.calls_out;
             for (const auto& result : answer.results()) {
                 const auto found = lane.open.find(result.number());
@@ -189,7 +199,10 @@
         std::vector<outgoing> calls;
         {
             const std::lock_guard lock{m_mutex};
-            auto& lane = m_lanes.at(relay);
+            const auto known = m_lanes.find(relay);
+            if (known == m_lanes.end())
+                return;
+            auto& lane = known->second;
             if (lane.session == session && lane.calls_out == 0 && !lane.open.empty())
                 calls.push_back(next_call(now(), relay, lane));
         }
@@ -202,9 +215,10 @@
         std::vector<open_command> unsent;
         {
             const std::lock_guard lock{m_mutex};
-            auto& lane = m_lanes.at(relay);
-            if (lane.session != session)
+            const auto known = m_lanes.find(relay);
+            if (known == m_lanes.end() || known->second.session != session)
                 return;
+            auto& lane = known->second;
             auto surely_unsent = std::exchange(lane.unsent, {});
             if (delivery == peer_delivery::not_sent)
                 surely_unsent.insert(surely_unsent.end(), numbers.begin(), numbers.end());
@@ -217,7 +231,7 @@
                 const bool repeatable = open.command.what() == pb::target_command::poll;
                 (repeatable ? unsent : lost).push_back(std::move(open));
             }
-            ++lane.session;
+            lane.session = ++m_last_session;
             lane.calls_out = 0;
             lane.passed_by_until = now() + relay_penalty;
         }
@@ -238,6 +252,7 @@
     std::map<std::string, std::string> m_data_centres;        ///< of targets
     std::map<std::string, relay_lane> m_lanes;                ///< by relay
     std::uint64_t m_last_number = 0;
+    std::uint64_t m_last_session = 0;
 };
 
 relayed_targets::relayed_targets(std::string name, target_port& straight, sender send)
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -150,6 +150,21 @@
     CHECK(owner.got.at(1).size() == 1);
 }
 
+TEST_CASE("a relay that left is forgotten once nothing is out there, and a late answer of it is passed over",
+          "[relay]") {
+    relayed_owner owner;
+    owner.start(1);
+    REQUIRE(owner.calls.size() == 1);
+    owner.targets.set_relays({}); // it has still an order
+    owner.calls[0].done(peer_delivery::answered, results_of(owner.calls[0].call, order_outcome::done));
+    CHECK(owner.got.at(1) == outcomes{order_outcome::done});
+    owner.targets.set_relays({});
+    owner.calls[0].done(peer_delivery::lost, {});
+    owner.start(2);
+    CHECK(owner.calls.size() == 1);
+    CHECK(owner.straight.orders.size() == 1);
+}
+
 TEST_CASE("targets without a relay in their data centre are called straight", "[relay]") {
     relayed_owner owner;
     owner.targets.set_relays({{"n3", "10.0.0.3:1", "far"}});
