--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -462,7 +462,8 @@
         for (int i = 0; i < faults && world.violation().empty(); ++i)
             world.fault();
         world.heal(60s);
-        REQUIRE(world.violation() == "");
+        INFO(world.violation());
+        REQUIRE(world.violation().empty());
         REQUIRE(world.open().empty());
     }
 }
