Bound orders under way at a target, and keep starts and stops on one class of connections

Each timeout class of the HTTP client has connections of its own. Bursts of starts, now in classes of 256 to 1,024 ms, and starts sent again opened connections that stay, until a target had its most and turned away new ones. Ruled out: lost callbacks in relays, the order of writes and acknowledgements, strays. Change: narrow_targets lets six orders of a node go to a target at a time; starts and stops wait 500 ms (a busy node's starts up to 1,000), three sends in all. Lost orders and stops without success are log lines now. Mended beside it: polls are told apart by number, not by the clock; a start kept back for a target that is gone ends no process; acknowledgements queued for a target's life before are dropped with it.

--- a/src/cell/call_patience.h
+++ b/src/cell/call_patience.h
@@ -22,7 +22,7 @@
         return std::clamp(usual, shortest, longest);
     }
 
-    static constexpr milliseconds shortest{250};
+    static constexpr milliseconds shortest{500};
     static constexpr milliseconds longest{1000};
 
 private:
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -3,6 +3,7 @@
 #include "cell/call_router.h"
 #include "cell/command_relay.h"
 #include "cell/command_wire.h"
+#include "cell/narrow_targets.h"
 #include "cell/partition_rows.h"
 #include "cell/relayed_targets.h"
 #include "cell/succession.h"
@@ -76,12 +77,12 @@
 public:
     impl(cell_options options, cell_ports ports)
         : m_options{std::move(options)}, m_ports{std::move(ports)}, m_peers{*this},
-          m_incarnation{static_cast<std::uint64_t>(to_ms(now()))}, m_relay{*m_ports.orders},
-          m_relayed{self_owner(), *m_ports.orders,
-                    [this](const std::string& address, const pb::relay_call& call, milliseconds timeout,
-                           peer_callback<pb::relay_answer> done) {
-                        m_peers.relay(address, call, timeout, std::move(done));
-                    }},
+          m_incarnation{static_cast<std::uint64_t>(to_ms(now()))}, m_orders{*m_ports.orders},
+          m_relay{m_orders}, m_relayed{self_owner(), m_orders,
+                                       [this](const std::string& address, const pb::relay_call& call,
+                                              milliseconds timeout, peer_callback<pb::relay_answer> done) {
+                                           m_peers.relay(address, call, timeout, std::move(done));
+                                       }},
           m_router{std::make_shared<call_router>(
               *this,
               [this](const std::string& address, const pb::job_calls& calls, milliseconds timeout,
@@ -747,6 +748,7 @@
     cell_ports m_ports;
     cell_peers m_peers;
     std::uint64_t m_incarnation;
+    narrow_targets m_orders;
     command_relay m_relay;
     relayed_targets m_relayed;
     std::shared_ptr<call_router> m_router;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -62,6 +62,7 @@
 };
 
 struct poll_order {
+    std::uint64_t number = 0; ///< in the order of sending
     std::string target;
     std::string address;
     std::uint64_t epoch = 0;
@@ -344,6 +345,7 @@
     std::deque<waiting_write> m_urgent; ///< what callers wait for is written first, each in its order
     std::deque<waiting_write> m_dirty;
     std::uint64_t m_last_write_number = 0;
+    std::uint64_t m_last_poll = 0;
     instant m_dirty_since{};
     /// Ends that may be acknowledged once all that waited for writing up to `number` is written.
     struct pending_acks {
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -168,6 +168,9 @@
     target.entry.born_ms = born_ms;
     target.seen_upto = 0;
     target.acked_upto = 0;
+    m_acks_writing.erase(target.entry.id);
+    if (m_pending_acks)
+        m_pending_acks->upto.erase(target.entry.id);
     target.granted_ms = 0;
     target.clock_read = {};
     target.failures_in_row = 0;
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -10,7 +10,7 @@
 
 constexpr milliseconds stop_retry{300};
 /// A start without an answer is sent again to the same target under the same number, this often in all.
-constexpr int start_tries = 4;
+constexpr int start_tries = 3;
 /// A poll without an answer this long after its wait is followed by another one.
 constexpr milliseconds poll_patience{300};
 constexpr milliseconds poll_retry{250};
@@ -104,7 +104,10 @@
 std::vector<target_order> job_engine::take_orders(instant at) {
     std::vector<target_order> orders;
     for (auto& start : std::exchange(m_starts, {})) {
-        auto& target = m_targets.at(start.target);
+        const auto known = m_targets.find(start.target);
+        if (known == m_targets.end())
+            continue;
+        auto& target = known->second;
         const auto found = target.runs.find(start.task);
         if (found == target.runs.end())
             continue;
@@ -242,6 +245,9 @@
         return;
     }
     m_stops = true;
+    note("stop_refused", order.task.job,
+         order.target + " " + text + " run " + std::to_string(order.run) + ": " +
+             std::string{name_of(outcome)});
     if (outcome == order_outcome::other_target)
         drop_all(at, target, "another target answers there", true);
 }
@@ -258,6 +264,7 @@
         order.target = id;
         order.address = target.entry.address;
         order.epoch = m_options.epoch;
+        order.number = ++m_last_poll;
         order.acked_upto = target.acked_upto;
         // A silent target's leases aren't renewed, or it would never be known when they have lapsed.
         if (!again && target.claimed && !target.suspect && target.clock_read != instant{}) {
@@ -280,7 +287,7 @@
     auto& target = found->second;
     if (result.outcome == order_outcome::fenced)
         m_fenced = true;
-    if (sent < target.latest_answer_sent)
+    if (order.number < target.latest_answered)
         return; // a later poll overtook it
     target.poll_out = false;
     target.next_poll = at + poll_retry;
@@ -301,7 +308,7 @@
         return;
     }
     target.refused_polls = 0;
-    target.latest_answer_sent = sent;
+    target.latest_answered = order.number;
     if (target.suspect)
         note("target_back", {}, order.target);
     target.suspect = false;
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -59,8 +59,8 @@
     std::int64_t seen_upto = 0;  ///< ends that were taken in
     bool poll_out = false;
     instant next_poll{};
-    instant poll_overdue{};       ///< when a poll that is out should have had its answer
-    instant latest_answer_sent{}; ///< when the latest poll that was answered had been sent
+    instant poll_overdue{};            ///< when a poll that is out should have had its answer
+    std::uint64_t latest_answered = 0; ///< the number of the latest poll that was answered
     instant last_answer{};
     int refused_polls = 0;
     int failures_in_row = 0; ///< ends `failed` since the last one that was done
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "cell/command_relay.h"
 #include "cell/command_wire.h"
+#include "cell/narrow_targets.h"
 #include "cell/relayed_targets.h"
 
 #include <catch2/catch.hpp>
@@ -281,3 +282,31 @@
     CHECK(call.targets_size() == 2);
     CHECK(call.timeout_ms() == 900);
 }
+
+TEST_CASE("a burst of orders goes to a target a few at a time, in order, and stops are among them",
+          "[relay][load]") {
+    held_targets targets;
+    narrow_targets narrow{targets};
+    std::vector<int> answered;
+    const auto order_of = [](const std::string& target, int run) {
+        target_order order;
+        order.kind = run == 19 ? order_kind::stop : order_kind::start;
+        order.target = target;
+        order.run = run;
+        return order;
+    };
+    for (int run = 0; run < 20; ++run)
+        narrow.send(order_of("t1", run), 500ms, [&answered, run](order_outcome) { answered.push_back(run); });
+    narrow.send(order_of("t2", 100), 500ms, [](order_outcome) {});
+    CHECK(targets.orders.size() == orders_at_a_time + 1); // another target doesn't wait
+    // Each answer, lost ones too, lets the next one go.
+    for (std::size_t i = 0; i < targets.order_answers.size(); ++i) {
+        const auto answer = targets.order_answers[i];
+        answer(i % 3 == 0 ? order_outcome::lost : order_outcome::done);
+    }
+    CHECK(answered.size() == 20);
+    CHECK(targets.orders.size() == 21);
+    CHECK(targets.orders.back().run == 19);
+    narrow.send(order_of("t1", 7), 500ms, [](order_outcome) {});
+    CHECK(targets.orders.size() == 22);
+}
