--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -556,9 +556,12 @@
             if (m_status == partition_status::closed)
                 return;
             m_status = partition_status::closed;
-            for (const auto& waiting : m_waiters)
-                answer(waiting.done,
-                       make_job_answer(pb::job_answer::not_owner, "the partition moved", usual_retry));
+            // What is in a write may be recorded; only what never was may be tried as if new.
+            for (const auto& waiting : m_waiters) {
+                const auto outcome = m_engine && m_engine->withdraw(waiting.job) ? pb::job_answer::not_owner
+                                                                                 : pb::job_answer::unknown;
+                answer(waiting.done, make_job_answer(outcome, "the partition moved", usual_retry));
+            }
             m_waiters.clear();
         });
         m_closed.notify_all();
