--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -265,12 +265,14 @@
     void step_done(instant at, job_state& job, int occurrence, int step);
     void end_job(instant at, job_state& job, pb::job_progress::phase phase);
     void stop_runs(job_state& job);
+    void note(std::string what, std::string job, std::string detail);
+
+    // engine_rows.cpp: what is written and read back.
     void touch(instant at, job_state& job, bool awaited);
     void fill_rows(std::deque<waiting_write>& from, write_room& room, job_rows& to);
     job_rows::row next_row(job_state& job);
     [[nodiscard]] static pb::job_progress progress_of(const job_state& job);
     void forget_old(instant at);
-    void note(std::string what, std::string job, std::string detail);
 
     // engine_targets.cpp and engine_ends.cpp: runs at targets.
     void release(target_state& target, const live_run& run);
--- /dev/null
+++ b/src/jobs/engine_rows.cpp
@@ -0,0 +1,254 @@
+// Rows of jobs: what is written next, what a later owner reads back, what is forgotten.
+
+#include "jobs/engine.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+/// Progress that no caller waits for shares a later write within this time.
+constexpr milliseconds lazy_write{250};
+/// What one transaction of the table takes, with some entries left for its other rows.
+constexpr std::size_t entries_at_a_time = 84;
+constexpr std::size_t bytes_at_a_time = 400'000;
+/// Of these entries, what callers don't wait for gets at least so many, for targets may forget ends after it.
+constexpr std::size_t lazy_entries = 20;
+constexpr milliseconds forget_period{2000};
+constexpr std::size_t forget_batch = 10;
+
+} // namespace
+
+// ---- Recovery ----
+
+void job_engine::restore(const std::map<std::string, pb::job_spec>& specs,
+                         const std::map<std::string, pb::job_progress>& progress) {
+    std::vector<std::pair<std::int64_t, std::string>> ended;
+    for (const auto& [id, row] : progress) {
+        auto& job = m_jobs[id];
+        job.phase = row.state();
+        job.queue = row.queue();
+        job.team = row.team();
+        job.ended_ms = row.ended_ms();
+        job.finished_occurrences = row.finished_occurrences();
+        job.version = 1;
+        job.durable = 1;
+        if (job.phase != pb::job_progress::open)
+            ended.emplace_back(job.ended_ms, id);
+    }
+    std::ranges::sort(ended);
+    for (const auto& [at, id] : ended)
+        m_ended.push_back(id);
+    for (const auto& [id, spec] : specs) {
+        auto& job = m_jobs[id];
+        job.has_spec_row = true;
+        job.version = 1;
+        job.durable = 1;
+        job.spec = spec;
+        job.queue = spec.queue();
+        job.team = spec.team();
+        if (job.phase != pb::job_progress::open) {
+            job.writing = job.version; // only the spec is left to be dropped
+            job.dirty = true;
+            m_dirty.push_back({++m_last_write_number, id});
+            continue;
+        }
+        job.doubtful = true;
+        m_open.insert(id);
+        const auto row = progress.find(id);
+        const auto at = from_ms(spec.accepted_ms());
+        if (row != progress.end()) {
+            for (const auto& occurrence : row->second.occurrences()) {
+                open_occurrence(at, job, occurrence.number(), &occurrence);
+                job.next_occurrence = std::max(job.next_occurrence, occurrence.number() + 1);
+            }
+            job.next_occurrence = std::max(job.next_occurrence, job.finished_occurrences);
+        }
+        if (spec.times() > 0)
+            m_timed.insert(id);
+        else if (job.occurrences.empty())
+            open_occurrence(at, job, 0, nullptr);
+    }
+    // An open job without its spec can't be: the spec is written first and dropped after its end.
+    std::erase_if(m_jobs, [](const auto& entry) {
+        return entry.second.phase == pb::job_progress::open && !entry.second.has_spec_row;
+    });
+}
+
+void job_engine::restore_roster(instant at, const std::vector<std::string>& targets) {
+    m_unclaimed.insert(targets.begin(), targets.end());
+    m_roster.insert(targets.begin(), targets.end());
+    m_roster_written = m_roster;
+    m_doubt = true;
+    m_doubt_ends = at + m_options.unknown_runs;
+    claim_done(at);
+}
+
+// ---- The table ----
+
+void job_engine::touch(instant at, job_state& job, bool awaited) {
+    const auto& id = job.spec.id();
+    if (awaited) {
+        ++job.version;
+        if (!job.urgent)
+            m_urgent.push_back({++m_last_write_number, id});
+        job.urgent = true;
+    } else if (!job.dirty) {
+        if (m_dirty.empty())
+            m_dirty_since = at;
+        m_dirty.push_back({++m_last_write_number, id});
+    }
+    job.dirty = true;
+}
+
+bool job_engine::write_due(instant at) const {
+    if (m_rows_out)
+        return false;
+    if (!m_urgent.empty() || (m_roster_dirty && m_roster != m_roster_written) || !m_forget.empty())
+        return true;
+    return !m_dirty.empty() && at - m_dirty_since >= lazy_write;
+}
+
+pb::job_progress job_engine::progress_of(const job_state& job) {
+    pb::job_progress row;
+    row.set_state(job.phase);
+    row.set_ended_ms(job.ended_ms);
+    row.set_queue(job.queue);
+    row.set_team(job.team);
+    row.set_finished_occurrences(job.finished_occurrences);
+    if (job.phase != pb::job_progress::open)
+        return row;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        auto& to = *row.add_occurrences();
+        to.set_number(number);
+        for (const auto& step : occurrence.steps) {
+            auto& step_row = *to.add_steps();
+            step_row.mutable_gang_failed_runs()->Assign(step.gang_failed_runs.begin(),
+                                                        step.gang_failed_runs.end());
+            step_row.set_gang_saved(step.gang_saved);
+            for (const auto& task : step.tasks) {
+                auto& task_row = *step_row.add_tasks();
+                task_row.set_done(task.done);
+                task_row.mutable_failed_runs()->Assign(task.failed_runs.begin(), task.failed_runs.end());
+                if (!task.done)
+                    task_row.set_saved(task.saved);
+            }
+        }
+    }
+    return row;
+}
+
+job_rows job_engine::take_rows(instant at) {
+    job_rows made;
+    m_rows_out = true;
+    m_rows_taken = at;
+    m_writing.clear();
+    if (!m_pending_acks) {
+        m_pending_acks = pending_acks{m_last_write_number, {}};
+        for (const auto& [id, target] : m_targets)
+            m_pending_acks->upto[id] = target.seen_upto;
+    }
+    write_room room{entries_at_a_time - std::min(lazy_entries, m_dirty.size()), bytes_at_a_time};
+    fill_rows(m_urgent, room, made);
+    room.entries += std::min(lazy_entries, m_dirty.size());
+    fill_rows(m_dirty, room, made);
+    fill_rows(m_urgent, room, made);
+    for (const auto& id : m_forget) {
+        job_rows::row row;
+        row.job = id;
+        row.drop_progress = true;
+        made.rows.push_back(std::move(row));
+    }
+    m_forget.clear();
+    if (m_roster_dirty && m_roster != m_roster_written) {
+        pb::roster row;
+        for (const auto& target : m_roster)
+            row.add_targets(target);
+        made.roster = row.SerializeAsString();
+        m_roster_written = m_roster;
+    }
+    m_roster_dirty = false;
+    m_acks_writing.clear();
+    const auto written = [&](const std::deque<waiting_write>& queue) {
+        return queue.empty() || queue.front().number > m_pending_acks->number;
+    };
+    if (written(m_urgent) && written(m_dirty))
+        m_acks_writing = std::exchange(m_pending_acks, std::nullopt)->upto;
+    return made;
+}
+
+void job_engine::fill_rows(std::deque<waiting_write>& from, write_room& room, job_rows& to) {
+    while (!from.empty() && room.entries > 0 && room.bytes > 0) {
+        const auto id = from.front().job;
+        from.pop_front();
+        auto* job = find(id);
+        if (job == nullptr || !job->dirty)
+            continue;
+        auto row = next_row(*job);
+        const auto size = (row.spec ? row.spec->size() : 0) + (row.progress ? row.progress->size() : 0);
+        room.bytes -= std::min(room.bytes, size);
+        --room.entries;
+        to.rows.push_back(std::move(row));
+        m_writing.push_back(id);
+    }
+}
+
+/// One entry: the spec of a job that is new, else its progress; the spec of an ended one goes after that.
+job_rows::row job_engine::next_row(job_state& job) {
+    job_rows::row row;
+    row.job = job.spec.id();
+    const bool ended = job.phase != pb::job_progress::open;
+    const bool end_told = ended && !job.urgent && job.writing == job.version;
+    if (end_told && job.has_spec_row) {
+        row.drop_spec = true;
+        job.has_spec_row = false;
+    } else if (!ended && !job.has_spec_row) {
+        row.spec = job.spec.SerializeAsString();
+        job.has_spec_row = true;
+    } else {
+        row.progress = progress_of(job).SerializeAsString();
+    }
+    job.writing = job.version;
+    job.urgent = false;
+    job.dirty = ended && job.has_spec_row;
+    if (job.dirty)
+        m_dirty.push_back({++m_last_write_number, row.job});
+    return row;
+}
+
+void job_engine::rows_written(instant at) {
+    m_rows_out = false;
+    for (const auto& id : m_writing) {
+        if (auto* job = find(id))
+            job->durable = std::max(job->durable, job->writing);
+    }
+    m_writing.clear();
+    for (const auto& [id, upto] : m_acks_writing) {
+        const auto target = m_targets.find(id);
+        if (target != m_targets.end() && upto <= target->second.seen_upto)
+            target->second.acked_upto = std::max(target->second.acked_upto, upto);
+    }
+    m_acks_writing.clear();
+    m_changed = true;
+    schedule(at);
+}
+
+void job_engine::forget_old(instant at) {
+    if (at < m_next_forget)
+        return;
+    m_next_forget = at + forget_period;
+    while (!m_ended.empty() && m_forget.size() < forget_batch) {
+        const auto* job = find(m_ended.front());
+        if (job != nullptr) {
+            if (at - from_ms(job->ended_ms) < m_options.retention || job->dirty ||
+                job->durable < job->version)
+                return;
+            m_forget.push_back(m_ended.front());
+            m_jobs.erase(m_ended.front());
+        }
+        m_ended.pop_front();
+    }
+}
+
+} // namespace medlarhub
--- /dev/null
+++ b/test/owned_partition_test.cpp
@@ -0,0 +1,142 @@
+#include "cell/owned_partition.h"
+
+#include "standin/memory_platform.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <thread>
+
+using namespace medlarhub;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A table whose transactions can be held on their way.
+class held_table final : public table {
+public:
+    write_result transact(const std::vector<table_write>& writes) override {
+        std::unique_lock lock{m_mutex};
+        ++m_waiting;
+        m_changed.notify_all();
+        m_changed.wait(lock, [&] { return !m_held; });
+        --m_waiting;
+        return m_rows.transact(writes);
+    }
+    std::optional<std::vector<table_row>> read(const std::string& key) override { return m_rows.read(key); }
+    std::optional<std::vector<table_row>> list(const std::string& prefix, const std::string& after,
+                                               int limit) override {
+        return m_rows.list(prefix, after, limit);
+    }
+
+    void hold(bool held) {
+        const std::lock_guard lock{m_mutex};
+        m_held = held;
+        m_changed.notify_all();
+    }
+    void await_held() {
+        std::unique_lock lock{m_mutex};
+        m_changed.wait(lock, [&] { return m_held && m_waiting > 0; });
+    }
+
+private:
+    standin::memory_table m_rows;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_held = false;
+    int m_waiting = 0;
+};
+
+class no_targets final : public target_port {
+public:
+    void send(const target_order& /*order*/, milliseconds /*timeout*/,
+              std::function<void(order_outcome)> done) override {
+        done(order_outcome::not_sent);
+    }
+    void poll(const poll_order& /*order*/, milliseconds /*timeout*/,
+              std::function<void(poll_result)> done) override {
+        done({});
+    }
+};
+
+declarations one_queue() {
+    auto config = std::make_shared<cell_config>();
+    config->version = 1;
+    config->queues["checks"].name = "checks";
+    config->teams["orchard"].name = "orchard";
+    return {config, {}};
+}
+
+pb::job_call submission(const std::string& id) {
+    pb::job_call call;
+    call.set_what(pb::job_call::submit);
+    call.set_id(id);
+    call.set_timeout_ms(60'000);
+    auto& spec = *call.mutable_spec();
+    spec.set_id(id);
+    spec.set_queue("checks");
+    spec.set_team("orchard");
+    spec.add_steps()->set_count(1);
+    return call;
+}
+
+class partition_under_test {
+public:
+    partition_under_test() {
+        partition_environment environment;
+        environment.rows = &rows;
+        environment.orders = &m_targets;
+        environment.counters = &m_counters;
+        environment.ask = [](const advice_question&, auto done) { done(std::nullopt); };
+        environment.shared_outage = [] { return false; };
+        owned = std::make_unique<owned_partition>(owned_partition_options{0, "n1/1", "10.0.0.1:1", 4500ms},
+                                                  environment);
+        owned->set_declarations(one_queue());
+        owned->start();
+        while (owned->status() == partition_status::taking)
+            std::this_thread::sleep_for(1ms);
+    }
+
+    std::future<pb::job_answer> submit(const std::string& id) {
+        const auto promise = std::make_shared<std::promise<pb::job_answer>>();
+        owned->call(submission(id),
+                    [promise](pb::job_answer answer) { promise->set_value(std::move(answer)); });
+        return promise->get_future();
+    }
+
+    held_table rows;
+    std::unique_ptr<owned_partition> owned;
+
+private:
+    no_targets m_targets;
+    metrics m_counters;
+};
+
+} // namespace
+
+TEST_CASE("an owner that closes says that a job in a write may be recorded, and lets others be tried as new",
+          "[ownership][recovery]") {
+    partition_under_test partition;
+    REQUIRE(partition.owned->status() == partition_status::active);
+    CHECK(partition.submit("before").get().result() == pb::job_answer::ok);
+
+    partition.rows.hold(true);
+    auto in_write = partition.submit("in_write");
+    partition.rows.await_held();
+    auto again = partition.submit("in_write"); // the caller asks again meanwhile
+    auto unseen = partition.submit("unseen");
+    partition.owned->depose("another node owns the partition");
+    CHECK(in_write.get().result() == pb::job_answer::unknown);
+    CHECK(again.get().result() == pb::job_answer::unknown);
+    CHECK(unseen.get().result() == pb::job_answer::not_owner);
+    partition.rows.hold(false);
+    partition.owned->join();
+
+    // The write was done after all.
+    const auto recorded = partition.rows.list("p0/spec/", "", 10);
+    REQUIRE(recorded);
+    REQUIRE(recorded->size() == 2);
+    CHECK((*recorded)[1].key == "p0/spec/in_write");
+}
