--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -261,6 +261,58 @@
     CHECK(world.owner().state("j") == pb::job_answer::completed);
 }
 
+TEST_CASE("a target that drains or left the list gets no starts, and ends what it has", "[engine]") {
+    const bool left = GENERATE(false, true);
+    INFO((left ? "left" : "drains"));
+    job_world world{{.targets = 2, .work = 600ms}, 24};
+    world.submit(simple_job("early", {simple_step(8, 1000)}));
+    world.run_for(200ms);
+    REQUIRE(world.target("t1").running().size() == 4);
+    std::vector<target_entry> entries{world.target("t0").entry()};
+    if (!left) {
+        entries.push_back(world.target("t1").entry());
+        entries.back().draining = true;
+    }
+    world.owner().set_targets(world.at(), entries);
+    world.submit(simple_job("late", {simple_step(12, 1000)}));
+    world.run_for(3s);
+    CHECK(world.owner().state("early") == pb::job_answer::completed);
+    CHECK(world.owner().state("late") == pb::job_answer::completed);
+    CHECK(starts_of(world, "early") == 8);
+    CHECK(starts_of(world, "late") == 12);
+    CHECK(std::ranges::none_of(world.starts(), [](const std::string& each) {
+        return each.starts_with("late") && each.ends_with("@t1");
+    }));
+}
+
+TEST_CASE("a target that fails one job after the other is given nothing for a while, then tried again",
+          "[engine][load]") {
+    job_world world{{.targets = 2, .work = 100ms}, 25};
+    const auto runs_at = [&](const std::string& target) {
+        return std::ranges::count_if(world.starts(),
+                                     [&](const std::string& each) { return each.ends_with("@" + target); });
+    };
+    const auto flow = [&](int jobs, const std::string& prefix) {
+        for (int i = 0; i < jobs; ++i) {
+            world.submit(simple_job(prefix + std::to_string(i), {simple_step(3, 2000)}));
+            for (int tick = 0; tick < 15; ++tick) {
+                for (const auto& [task, run] : world.target("t0").running())
+                    world.fail_next(task);
+                world.run_for(20ms);
+            }
+        }
+    };
+    flow(6, "a");
+    const auto before = runs_at("t0");
+    REQUIRE(before >= 3);
+    flow(8, "b"); // 2.4 s
+    CHECK(runs_at("t0") == before);
+    flow(20, "c");
+    CHECK(runs_at("t0") > before);
+    for (int i = 0; i < 8; ++i)
+        CHECK(world.owner().state("b" + std::to_string(i)) == pb::job_answer::completed);
+}
+
 TEST_CASE("a step that requires a label runs only on targets that have it", "[engine]") {
     const auto label = GENERATE(std::string{"a"}, std::string{"b"}); // all targets are labelled a and r1
     job_world world{{}, 17};
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -186,6 +186,8 @@
         return;
     }
     const auto& spec = m_submitted.at(order.task.job);
+    if (order.body != spec.body())
+        violate("a start with another body: " + task);
     const auto before = target.running().contains(task);
     const auto outcome = target.start(m_at, order, need_of(spec.steps(order.task.step)), m_options.work);
     if (outcome != order_outcome::done || before)
@@ -277,7 +279,12 @@
 void job_world::step() {
     m_at += step_time;
     for (auto& [id, target] : m_targets) {
-        target.advance(m_at, [&](const std::string& task, int) { return m_failing.erase(task) > 0; });
+        target.advance(m_at, [&](const std::string& task, int) {
+            if (m_failing.erase(task) > 0)
+                return true;
+            m_finished.insert(task);
+            return false;
+        });
     }
     while (!m_messages.empty() && m_messages.begin()->first <= m_at) {
         const auto deliver = m_messages.begin()->second;
@@ -287,6 +294,24 @@
     }
     m_owner->tick(m_at);
     pump();
+    check_completed();
+}
+
+void job_world::check_completed() {
+    for (const auto& [id, spec] : m_submitted) {
+        if (m_shown_completed.contains(id) || m_owner->state(id) != pb::job_answer::completed ||
+            spec.times() > 0)
+            continue;
+        m_shown_completed.insert(id);
+        for (int step = 0; step < spec.steps_size(); ++step) {
+            int finished = 0;
+            for (int index = 0; index < spec.steps(step).count(); ++index)
+                finished += m_finished.contains(task_name{id, 0, step, index}.to_string()) ? 1 : 0;
+            const int needed = spec.steps(step).gang() ? 1 : spec.steps(step).count();
+            if (finished < needed)
+                violate("shown as completed before its tasks have ended: " + id);
+        }
+    }
 }
 
 void job_world::run_for(milliseconds time) {
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -77,6 +77,7 @@
     void poll(const poll_order& order);
     void carry_out(const target_order& order);
     void note_done();
+    void check_completed();
     void violate(const std::string& what);
     [[nodiscard]] bool reachable(const std::string& target) const;
     [[nodiscard]] bool lost();
@@ -96,7 +97,9 @@
     std::map<std::string, pb::job_spec> m_submitted;
     std::set<std::string> m_accepted;
     std::set<std::string> m_cancelled;
-    std::set<std::string> m_done;    ///< tasks whose end was acknowledged
+    std::set<std::string> m_done;     ///< tasks whose end was acknowledged
+    std::set<std::string> m_finished; ///< tasks that have ended well at a target
+    std::set<std::string> m_shown_completed;
     std::set<std::string> m_failing; ///< tasks whose next run fails
     std::multimap<instant, std::function<void()>> m_messages;
     milliseconds m_late{0};
