Divide the cell into several partitions with owners on large nodes, and limits over all of them

With the count alone raised, limits were counted once a partition, pending jobs were told of one partition only, racks were divided unevenly by hash, and owners queued behind each other at the advice service.

Change: the count follows from the number of targets and is agreed once through a row of the table; racks keep their partition. An owner is a node with much processor that owns the fewest; partitions move to a clearly better one. Teams' limits are divided by rows of the table, one a team. Lanes to the advice service are divided, pending jobs summed over all partitions. Whether a node hears from the table is passed on with its membership, and an outage counts as shared by fresh reports only.

--- a/include/medlarhub/membership.h
+++ b/include/medlarhub/membership.h
@@ -38,6 +38,8 @@
     /// Updates to send; the least often sent go first.
     [[nodiscard]] std::vector<pb::member> updates();
     void merge(instant at, const pb::member& update);
+    /// Says whether this node hears from the table; passed on like a change of state.
+    void set_without_table(bool without);
     /// Says that this node leaves; other nodes stop counting on it at once.
     void leave();
 
--- a/src/cell/call_router.cpp
+++ b/src/cell/call_router.cpp
@@ -48,6 +48,31 @@
     route(made);
 }
 
+void call_router::call_all(pb::job_call call, int partitions, job_callback done) {
+    struct collected {
+        std::mutex mutex;
+        pb::job_answer sum;
+        int missing = 0;
+    };
+    const auto all = std::make_shared<collected>();
+    all->missing = partitions;
+    for (int number = 0; number < partitions; ++number) {
+        call.set_partition(number);
+        this->call(call, [all, done](const pb::job_answer& answer) {
+            {
+                const std::lock_guard lock{all->mutex};
+                const auto pending = all->sum.pending() + answer.pending();
+                if (answer.result() != pb::job_answer::ok)
+                    all->sum = answer;
+                all->sum.set_pending(pending);
+                if (--all->missing > 0)
+                    return;
+            }
+            done(all->sum);
+        });
+    }
+}
+
 void call_router::route(const call_pointer& routed) {
     const auto left = routed->deadline - now();
     if (left <= 0ms)
--- a/src/cell/call_router.h
+++ b/src/cell/call_router.h
@@ -37,6 +37,9 @@
 
     /// Answers once, at the latest when the call's timeout has passed.
     void call(pb::job_call call, job_callback done);
+    /// Asks all partitions and answers with the sum of what is pending; without the answer of one, as that
+    /// one.
+    void call_all(pb::job_call call, int partitions, job_callback done);
     /// Sends what was out to the owner before to the new one.
     void owner_changed(int partition);
     /// Sends on the calls that wait for an owner; to be called each `tick_period`.
--- /dev/null
+++ b/src/cell/cap_sync.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "jobs/cap_division.h"
+
+#include "medlarhub/platform.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace medlarhub {
+
+/// A partition that takes its part of teams' limits from the table.
+struct cap_member {
+    int number = 0;
+    std::uint64_t epoch = 0;
+    std::map<std::string, cap_want> wants;                         ///< by team
+    std::function<void(std::map<std::string, double>)> set_shares; ///< by team
+};
+
+/// Divides teams' upper limits over partitions through rows of the table, one a team, which appear when a
+/// partition first needs more than its usual part. A part that shrinks is used no more before that is
+/// written, one that grows only after it. Calls block; one thread at a time.
+class cap_sync {
+public:
+    cap_sync(table& rows, int partitions) : m_rows{rows}, m_partitions{partitions} {}
+
+    /// One look at the rows for the partitions of this node. While the table gives no answer all parts stay.
+    void round(const std::vector<cap_member>& members);
+
+private:
+    struct team_row {
+        pb::cap_division division;
+        std::int64_t version = 0; ///< 0: there is no row
+    };
+
+    /// What a partition was told last.
+    struct member_state {
+        std::uint64_t epoch = 0;
+        std::map<std::string, double> shares;
+        std::set<std::string> unsure; ///< teams whose row may yet change by a write that had no answer
+    };
+
+    [[nodiscard]] bool read_rows();
+    void serve(const cap_member& member);
+    void divide(const cap_member& member, member_state& state, const std::string& team);
+
+    table& m_rows;
+    int m_partitions;
+    std::map<std::string, team_row> m_teams;
+    std::map<int, member_state> m_members;
+};
+
+} // namespace medlarhub
--- /dev/null
+++ b/src/cell/cell_layout.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "jobs/cell_config.h"
+
+#include "jobs.pb.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlarhub {
+
+/// How the targets of a cell are divided over partitions: whole racks, none of which ever changes its
+/// partition, so that no target has two owners. The count is agreed once, when the cell first starts.
+struct cell_layout {
+    int partitions = 0;               ///< 0: not agreed yet
+    std::map<std::string, int> racks; ///< the partition of each rack, by `rack_of`
+
+    friend bool operator==(const cell_layout&, const cell_layout&) = default;
+};
+
+/// The number of partitions for a cell of that many targets: few, so that queues stay pooled and wide gangs
+/// find room, and as many as one owner's processor asks for.
+int partitions_for(std::size_t targets);
+
+/// The rack as a layout names it. Targets that tell no rack are spread over made-up ones.
+std::string rack_of(const target_entry& target);
+
+/// Whether each target's rack has its partition.
+bool covers(const cell_layout& layout, const std::vector<target_entry>& targets);
+
+/// The layout with the racks that it lacks: each goes to the partition that has the fewest of its data
+/// centre, so that every partition keeps room when a data centre is taken out.
+cell_layout with_racks_of(cell_layout layout, const std::vector<target_entry>& targets);
+
+/// The targets of one partition.
+std::vector<target_entry> slice_of(const cell_layout& layout, const std::vector<target_entry>& targets,
+                                   int partition);
+
+/// The partition that keeps a job.
+int home_partition_of(std::string_view job, int partitions);
+
+std::string to_text(const cell_layout& layout);
+/// Empty, with the reason, for a row that isn't a layout.
+std::optional<cell_layout> parse_layout(const std::string& text);
+
+} // namespace medlarhub
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -1,8 +1,10 @@
 #include "cell/cell_node.h"
 
 #include "cell/call_router.h"
+#include "cell/cap_sync.h"
 #include "cell/command_relay.h"
 #include "cell/command_wire.h"
+#include "cell/layout_keeper.h"
 #include "cell/narrow_targets.h"
 #include "cell/partition_rows.h"
 #include "cell/relayed_targets.h"
@@ -38,6 +40,14 @@
 constexpr std::size_t probes_a_round = 2;
 /// Before a node takes a partition that it knows nothing of, it lets the others be heard.
 constexpr milliseconds settle_after_start{700};
+/// The cell is divided when the list of targets hasn't grown for this long.
+constexpr milliseconds targets_settled{1000};
+constexpr milliseconds layout_retry{400};
+/// A better owner is to be known this long before a partition is moved to it.
+constexpr milliseconds move_after{3000};
+constexpr milliseconds no_layout_retry{1000};
+/// Between looks at how teams' limits are divided.
+constexpr milliseconds cap_period{120};
 constexpr milliseconds take_retry{200};
 constexpr milliseconds declared_wait{1000};
 constexpr milliseconds source_retry{200};
@@ -53,6 +63,11 @@
 constexpr milliseconds take_timeout{500};
 /// Another node heard from the table this lately: it isn't out for all.
 constexpr milliseconds table_heard{2000};
+/// What other nodes said of the table counts this long.
+constexpr milliseconds report_fresh{1500};
+/// So many of them without an answer, and none with one, show that the table is out for all.
+constexpr std::size_t outage_witnesses = 4;
+constexpr milliseconds candidates_kept{100};
 constexpr auto node_prefix = "/node/";
 
 struct owner_view {
@@ -67,10 +82,6 @@
 
 } // namespace
 
-int home_partition_of(std::string_view job, int partitions) {
-    return static_cast<int>(stable_hash(job) % static_cast<std::uint64_t>(std::max(partitions, 1)));
-}
-
 class cell_node::impl final : public cell_handler,
                               public owner_lookup,
                               public std::enable_shared_from_this<impl> {
@@ -78,11 +89,12 @@
     impl(cell_options options, cell_ports ports)
         : m_options{std::move(options)}, m_ports{std::move(ports)}, m_peers{*this},
           m_incarnation{static_cast<std::uint64_t>(to_ms(now()))}, m_orders{*m_ports.orders},
-          m_relay{m_orders}, m_relayed{self_owner(), m_orders,
-                                       [this](const std::string& address, const pb::relay_call& call,
-                                              milliseconds timeout, peer_callback<pb::relay_answer> done) {
-                                           m_peers.relay(address, call, timeout, std::move(done));
-                                       }},
+          m_relay{m_orders}, m_layout_keeper{*m_ports.rows},
+          m_relayed{self_owner(), m_orders,
+                    [this](const std::string& address, const pb::relay_call& call, milliseconds timeout,
+                           peer_callback<pb::relay_answer> done) {
+                        m_peers.relay(address, call, timeout, std::move(done));
+                    }},
           m_router{std::make_shared<call_router>(
               *this,
               [this](const std::string& address, const pb::job_calls& calls, milliseconds timeout,
@@ -101,6 +113,7 @@
         loop([this] { tick_loop(); });
         loop([this] { ownership_loop(); });
         loop([this] { follow_targets(); });
+        loop([this] { divide_caps(); });
         return m_options.peer_address;
     }
 
@@ -135,18 +148,20 @@
 
     bool ready() const {
         const std::lock_guard lock{m_mutex};
-        if (m_leaving || !m_declared.config)
+        if (m_leaving || !m_declared.config || m_layout.partitions == 0)
             return false;
-        for (int number = 0; number < m_options.partitions; ++number) {
-            if (!m_owners.contains(number))
-                return false;
-        }
-        return true;
+        // A partition whose takeover is late takes its own callers only.
+        return m_owners.size() * 2 > static_cast<std::size_t>(m_layout.partitions);
     }
 
     void call(pb::job_call call, job_callback done) {
-        const auto& key = call.what() == pb::job_call::count_pending ? call.queue() : call.id();
-        call.set_partition(home_partition_of(key, m_options.partitions));
+        const int partitions = partition_count();
+        if (partitions == 0)
+            return done(
+                make_job_answer(pb::job_answer::not_run, "the cell is not divided yet", no_layout_retry));
+        if (call.what() == pb::job_call::count_pending)
+            return m_router->call_all(std::move(call), partitions, std::move(done));
+        call.set_partition(home_partition_of(call.id(), partitions));
         m_router->call(std::move(call), std::move(done));
     }
 
@@ -204,6 +219,7 @@
         self.set_peer_address(m_options.peer_address);
         self.set_data_centre(m_options.data_centre);
         self.set_incarnation(m_incarnation);
+        self.set_cpu_milli(m_options.cpu_milli);
         return self;
     }
 
@@ -220,6 +236,11 @@
         return m_owned;
     }
 
+    int partition_count() const {
+        const std::lock_guard lock{m_mutex};
+        return m_layout.partitions;
+    }
+
     std::string self_owner() const { return m_options.node + "/" + std::to_string(m_incarnation); }
 
     // ---- Sources ----
@@ -256,11 +277,11 @@
         }
     }
 
-    /// Only owners read the targets' entries.
+    /// Only owners read the targets' entries, and the node that divides the cell.
     void follow_targets() {
         bool reached = true;
         while (!m_stopping) {
-            if (partitions().empty()) {
+            if (partitions().empty() && !m_divides) {
                 pause(tick_period);
                 continue;
             }
@@ -277,23 +298,83 @@
             reached = true;
             {
                 const std::lock_guard lock{m_mutex};
+                if (seen->size() != m_targets.size())
+                    m_targets_grown = now();
                 m_targets = *seen;
                 m_targets_known = true;
             }
-            m_relayed.set_targets(*seen);
-            for (const auto& [number, owned] : partitions())
-                owned->set_targets(slice(*seen, number));
+            pass_targets_on();
             pause(targets_pause);
         }
     }
 
-    /// The targets of one partition: whole racks, by hash.
-    std::vector<target_entry> slice(const std::vector<target_entry>& all, int number) const {
-        std::vector<target_entry> part;
-        std::ranges::copy_if(all, std::back_inserter(part), [&](const target_entry& target) {
-            return home_partition_of(target.rack, m_options.partitions) == number;
-        });
-        return part;
+    /// Gives each owned partition its targets.
+    void pass_targets_on() {
+        cell_layout layout;
+        std::vector<target_entry> targets;
+        {
+            const std::lock_guard lock{m_mutex};
+            if (!m_targets_known)
+                return;
+            layout = m_layout;
+            targets = m_targets;
+        }
+        std::vector<target_entry> all_owned;
+        for (const auto& [number, owned] : partitions()) {
+            const auto slice = slice_of(layout, targets, number);
+            owned->set_targets(slice);
+            all_owned.insert(all_owned.end(), slice.begin(), slice.end());
+        }
+        m_relayed.set_targets(all_owned);
+    }
+
+    // ---- The layout ----
+
+    /// Learns how the cell is divided. One node divides it when it is new; owners add racks.
+    void layout_round(instant at) {
+        if (at < m_next_layout)
+            return;
+        m_next_layout = at + layout_retry;
+        cell_layout known;
+        std::vector<target_entry> targets;
+        instant grown;
+        {
+            const std::lock_guard lock{m_mutex};
+            known = m_layout;
+            targets = m_targets;
+            grown = m_targets_grown;
+            m_divides =
+                known.partitions == 0 && m_joined && successor_of(0, candidates(at), {}) == m_options.node;
+        }
+        const bool needs_racks = !partitions().empty() && !covers(known, targets);
+        if (known.partitions > 0 && !needs_racks)
+            return;
+        if (!m_layout_keeper.refresh())
+            return;
+        auto next = m_layout_keeper.layout();
+        const bool divide = m_divides && next.partitions == 0 && !targets.empty() &&
+                            at - grown >= targets_settled && at - m_started >= targets_settled;
+        if (divide)
+            next.partitions =
+                m_options.partitions > 0 ? m_options.partitions : partitions_for(targets.size());
+        if (next.partitions > 0 && (divide || needs_racks))
+            next = with_racks_of(std::move(next), targets);
+        if (next != m_layout_keeper.layout() && !m_layout_keeper.replace(next))
+            return;
+        use_layout(m_layout_keeper.layout());
+    }
+
+    void use_layout(const cell_layout& layout) {
+        {
+            const std::lock_guard lock{m_mutex};
+            if (layout == m_layout)
+                return;
+            m_layout = layout;
+        }
+        log_event(log_level::info, "layout_known",
+                  {{"partitions", std::to_string(layout.partitions)},
+                   {"racks", std::to_string(layout.racks.size())}});
+        pass_targets_on();
     }
 
     /// Registers this node and learns of the others.
@@ -304,6 +385,7 @@
         entry.set_peer_address(m_options.peer_address);
         entry.set_data_centre(m_options.data_centre);
         entry.set_incarnation(m_incarnation);
+        entry.set_cpu_milli(m_options.cpu_milli);
         do {
             const auto written = m_ports.rows->transact(
                 {{node_prefix + m_options.node, entry.SerializeAsString(), write_condition::none, 0, false}});
@@ -313,7 +395,6 @@
                 continue;
             for (const auto& row : *rows)
                 learn_node(row);
-            learn_heads();
             m_joined = true;
             if (written.outcome == write_outcome::committed)
                 return;
@@ -322,7 +403,9 @@
 
     /// After a restart of all nodes none could tell this one who the owners were.
     void learn_heads() {
-        for (int number = 0; number < m_options.partitions; ++number) {
+        for (int number = 0; number < partition_count(); ++number) {
+            if (owner_known(number))
+                continue;
             partition_rows rows{*m_ports.rows, number, self_owner(), m_options.peer_address};
             const auto head = rows.look();
             if (!head || head->owner().empty())
@@ -332,6 +415,11 @@
         }
     }
 
+    bool owner_known(int number) const {
+        const std::lock_guard lock{m_mutex};
+        return m_owners.contains(number);
+    }
+
     void learn_node(const table_row& row) {
         pb::node_entry entry;
         if (!entry.ParseFromString(row.value))
@@ -341,6 +429,7 @@
         member.set_peer_address(entry.peer_address());
         member.set_data_centre(entry.data_centre());
         member.set_incarnation(entry.incarnation());
+        member.set_cpu_milli(entry.cpu_milli());
         const std::lock_guard lock{m_mutex};
         m_members.merge(now(), member);
     }
@@ -353,6 +442,7 @@
         message.set_incarnation(m_incarnation);
         message.set_store_age_ms((now() - m_table_heard.load()).count());
         const std::lock_guard lock{m_mutex};
+        message.set_partition_count(m_layout.partitions);
         for (const auto& update : m_members.updates())
             *message.add_members() = update;
         for (const auto& [number, view] : m_owners) {
@@ -368,11 +458,16 @@
     void take_gossip(const pb::gossip& message) {
         const auto at = now();
         const std::lock_guard lock{m_mutex};
+        if (m_layout.partitions == 0 && message.partition_count() > 0)
+            m_layout.partitions = message.partition_count(); // its racks are read by owners only
         for (const auto& update : message.members())
             m_members.merge(at, update);
-        for (const auto& summary : message.partitions())
+        for (const auto& summary : message.partitions()) {
+            if (summary.partition() < 0 || summary.partition() >= m_layout.partitions)
+                continue;
             learn_owner(summary.partition(), {summary.owner(), summary.owner_address(), summary.epoch()});
-        m_peer_table_heard[message.from()] = at - milliseconds{message.store_age_ms()};
+        }
+        m_reports[message.from()] = {at, at - milliseconds{message.store_age_ms()}};
     }
 
     void learn_owner(int number, const owner_view& view) {
@@ -397,7 +492,9 @@
         std::vector<pb::member> probes;
         {
             const std::lock_guard lock{m_mutex};
-            m_members.tick(now());
+            const auto at = now();
+            m_members.set_without_table(!hears_table(at));
+            m_members.tick(at);
             probes = m_members.next_probes(probes_a_round);
         }
         for (const auto& member : probes) {
@@ -412,14 +509,21 @@
         }
     }
 
+    /// How the table was for another node when it last sent a message.
+    struct peer_report {
+        instant received{};
+        instant table_heard{};
+    };
+
     /// Each partition's heir watches its owner, so that a death is noticed fast without all probing all.
     void probe_owners() {
         std::vector<std::pair<int, std::string>> probes;
         {
             const std::lock_guard lock{m_mutex};
+            const auto live = candidates(now());
             for (const auto& [number, view] : m_owners) {
                 if (view.owner.empty() || m_owned.contains(number) ||
-                    successor_of(number, candidates(now()), node_of(view.owner)) != m_options.node)
+                    successor_of(number, live, node_of(view.owner)) != m_options.node)
                     continue;
                 probes.emplace_back(number, view.address);
             }
@@ -439,17 +543,16 @@
     bool shared_outage() const {
         const auto at = now();
         const std::lock_guard lock{m_mutex};
-        std::size_t heard = 1;
-        const auto live = m_members.live();
-        for (const auto& node : live) {
-            const auto found = m_peer_table_heard.find(node);
-            if (found == m_peer_table_heard.end())
+        const auto others = m_members.live().size() - 1;
+        std::size_t without = 0;
+        for (const auto& [node, report] : m_reports) {
+            if (at - report.received >= report_fresh)
                 continue;
-            if (at - found->second < table_heard)
+            if (at - report.table_heard < table_heard)
                 return false;
-            ++heard;
+            ++without;
         }
-        return heard * 2 > live.size();
+        return without >= std::min(others, outage_witnesses);
     }
 
     // ---- Ownership ----
@@ -487,15 +590,23 @@
         drop_closed();
         if (publish_owned())
             tell_all();
+        layout_round(at);
         seek_heirs(at);
         set_helpers();
+        move_to_better(at);
+        const int count = partition_count();
+        if (count == 0 || (!m_joined && !owner_known(0)))
+            return;
+        if (!m_heads_read) {
+            learn_heads();
+            m_heads_read = true;
+            m_heads_read_at = now();
+        }
         std::vector<int> wanted;
         {
             const std::lock_guard lock{m_mutex};
-            if (!m_joined && m_owners.empty())
-                return;
-            const auto live = candidates(at);
-            for (int number = 0; number < m_options.partitions; ++number) {
+            auto live = candidates(at);
+            for (int number = 0; number < count; ++number) {
                 if (m_owned.contains(number) || at < m_next_take[number])
                     continue;
                 const auto known = m_owners.find(number);
@@ -503,9 +614,13 @@
                                    !doubted(at, number, known->second.owner);
                 const auto before = known == m_owners.end() ? "" : node_of(known->second.owner);
                 const bool own_again = before == m_options.node;
-                if (owned || (successor_of(number, live, before) != m_options.node && !own_again))
+                if (owned)
                     continue;
-                if (known == m_owners.end() && at - m_started < settle_after_start)
+                const auto heir = successor_of(number, live, before);
+                count_owned(live, heir);
+                if (heir != m_options.node && !own_again)
+                    continue;
+                if (known == m_owners.end() && at - m_heads_read_at < settle_after_start)
                     continue;
                 m_next_take[number] = at + take_retry;
                 wanted.push_back(number);
@@ -515,18 +630,66 @@
             look_and_take(number);
     }
 
-    std::vector<candidate_owner> candidates(instant at) const {
+    std::vector<candidate_owner> candidates(instant at) {
+        if (at - m_candidates_at < candidates_kept)
+            return m_candidates;
         std::vector<candidate_owner> live;
-        for (const auto& node : m_members.live()) {
-            const auto heard = m_peer_table_heard.find(node);
-            const auto last = node == m_options.node              ? m_table_heard.load()
-                              : heard == m_peer_table_heard.end() ? instant{}
-                                                                  : heard->second;
-            live.push_back({node, last != instant{} && at - last < table_heard});
+        for (const auto& member : m_members.all()) {
+            const bool self = member.id() == m_options.node;
+            if (!m_members.alive(member.id()))
+                continue;
+            const bool hears = self ? hears_table(at) : !member.without_table();
+            live.push_back({member.id(), hears, member.cpu_milli(), 0});
         }
+        for (const auto& [number, view] : m_owners) {
+            if (owner_lives(view.owner))
+                count_owned(live, node_of(view.owner));
+        }
+        m_candidates = live;
+        m_candidates_at = at;
         return live;
     }
 
+    bool hears_table(instant at) const {
+        const auto heard = m_table_heard.load();
+        return heard != instant{} && at - heard < table_heard;
+    }
+
+    static void count_owned(std::vector<candidate_owner>& live, const std::string& node) {
+        const auto found = std::ranges::find(live, node, &candidate_owner::node);
+        if (found != live.end())
+            ++found->owned;
+    }
+
+    /// Hands a partition to a node that is clearly better for it.
+    void move_to_better(instant at) {
+        std::optional<std::pair<int, std::string>> move;
+        {
+            const std::lock_guard lock{m_mutex};
+            const auto live = candidates(at);
+            const auto self = std::ranges::find(live, m_options.node, &candidate_owner::node);
+            for (const auto& [number, owned] : m_owned) {
+                const auto heir = std::ranges::find(live, successor_of(number, live, m_options.node),
+                                                    &candidate_owner::node);
+                if (self != live.end() && heir != live.end() && worth_moving(*self, *heir))
+                    move = {number, heir->node};
+            }
+        }
+        if (!move || move != m_better_owner) {
+            m_better_owner = move;
+            m_better_since = at;
+            return;
+        }
+        if (at - m_better_since < move_after)
+            return;
+        m_better_owner.reset();
+        log_event(log_level::info, "partition_moves",
+                  {{"partition", std::to_string(move->first)}, {"to", move->second}});
+        if (const auto owned = local_partition(move->first))
+            owned->release(release_wait);
+        tell_heir(move->first);
+    }
+
     bool doubted(instant at, int number, const std::string& owner) const {
         const auto doubt = m_owner_doubts.find(number);
         return m_members.suspected(node_of(owner)) ||
@@ -579,6 +742,7 @@
         options.owner = self_owner();
         options.peer_address = m_options.peer_address;
         options.lease = m_options.lease;
+        options.partitions = partition_count();
         partition_environment environment;
         environment.rows = m_ports.rows.get();
         environment.orders = &m_relayed;
@@ -592,11 +756,12 @@
         std::optional<std::vector<target_entry>> targets;
         {
             const std::lock_guard lock{m_mutex};
-            if (m_leaving || m_stopping || !m_owned.emplace(number, owned).second)
+            if (m_leaving || m_stopping || number < 0 || number >= m_layout.partitions ||
+                !m_owned.emplace(number, owned).second)
                 return;
             declared = m_declared;
-            if (m_targets_known)
-                targets = slice(m_targets, number);
+            if (m_targets_known && covers(m_layout, m_targets))
+                targets = slice_of(m_layout, m_targets, number);
         }
         if (declared.config)
             owned->set_declarations(declared);
@@ -671,16 +836,12 @@
             std::string address;
             {
                 const std::lock_guard lock{m_mutex};
-                instant latest = std::max(m_table_heard.load(), at - table_heard);
-                for (const auto& node : m_members.live()) {
-                    const auto heard = m_peer_table_heard.find(node);
-                    if (node == m_options.node || heard == m_peer_table_heard.end() ||
-                        heard->second <= latest)
-                        continue;
-                    latest = heard->second;
-                    heir = node;
-                    address = m_members.find(node)->peer_address();
-                }
+                const auto live = candidates(at);
+                heir = successor_of(number, live, m_options.node);
+                const auto found = std::ranges::find(live, heir, &candidate_owner::node);
+                if (found == live.end() || !found->hears_table || heir == m_options.node)
+                    continue;
+                address = m_members.find(heir)->peer_address();
             }
             if (heir.empty())
                 continue;
@@ -693,6 +854,8 @@
 
     /// The nodes that ask for advice and carry out commands for this one.
     void set_helpers() {
+        if (partitions().empty())
+            return;
         std::vector<std::string> live;
         std::vector<relay_node> relays;
         {
@@ -705,8 +868,9 @@
             }
         }
         m_relayed.set_relays(relays);
+        const int count = partition_count();
         for (const auto& [number, owned] : partitions())
-            owned->set_advisers(live);
+            owned->set_advisers(lanes_of(number, count, live));
     }
 
     void tell_heir(int number) {
@@ -724,6 +888,28 @@
         m_peers.take(address, request, take_timeout, [](peer_delivery, const pb::take_reply&) {});
     }
 
+    // ---- Upper limits ----
+
+    void divide_caps() {
+        std::unique_ptr<cap_sync> sync;
+        while (pause(cap_period)) {
+            const int count = partition_count();
+            if (count < 2)
+                continue; // the only partition has all of each limit
+            if (!sync)
+                sync = std::make_unique<cap_sync>(*m_ports.rows, count);
+            std::vector<cap_member> members;
+            for (const auto& [number, owned] : partitions()) {
+                if (owned->status() == partition_status::active)
+                    members.push_back({number, owned->epoch(), owned->cap_wants(),
+                                       [owned = owned](std::map<std::string, double> shares) {
+                                           owned->set_cap_shares(std::move(shares));
+                                       }});
+            }
+            sync->round(members);
+        }
+    }
+
     // ---- Advice ----
 
     void ask(const advice_question& question, std::function<void(std::optional<advice_reply>)> done) {
@@ -750,6 +936,7 @@
     std::uint64_t m_incarnation;
     narrow_targets m_orders;
     command_relay m_relay;
+    layout_keeper m_layout_keeper; ///< used by the ownership thread only
     relayed_targets m_relayed;
     std::shared_ptr<call_router> m_router;
     instant m_started{};
@@ -762,16 +949,28 @@
         std::uint64_t sequence = 0;
         instant at{};
     };
-    std::map<int, instant> m_owner_doubts; ///< when a probe of the owner was lost last
-    std::map<int, head_view> m_heads;      ///< of partitions whose owner may be dead
-    std::map<std::string, instant> m_peer_table_heard;
+    std::map<int, instant> m_owner_doubts;        ///< when a probe of the owner was lost last
+    std::map<int, head_view> m_heads;             ///< of partitions whose owner may be dead
+    std::map<std::string, peer_report> m_reports; ///< by node
+    std::vector<candidate_owner> m_candidates;
+    instant m_candidates_at{};
     std::set<std::string> m_owned_names;
     owned_map m_owned;
     declarations m_declared;
     std::vector<target_entry> m_targets;
     bool m_targets_known = false;
-
-    instant m_next_heir{}; ///< used by the ownership thread only
+    instant m_targets_grown{};
+    cell_layout m_layout;
+
+    // Used by the ownership thread only.
+    instant m_next_heir{};
+    instant m_next_layout{};
+    bool m_heads_read = false;
+    instant m_heads_read_at{};
+    std::optional<std::pair<int, std::string>> m_better_owner;
+    instant m_better_since{};
+
+    std::atomic<bool> m_divides{false}; ///< this node is to divide the cell
     std::atomic<instant> m_table_heard{instant{}};
     std::atomic<bool> m_joined{false};
     std::atomic<bool> m_leaving{false};
--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -18,7 +18,8 @@
     std::string data_centre;
     std::string peer_address;       ///< `ip:port` for other nodes
     std::vector<std::string> seeds; ///< peer addresses of some other nodes; they may be stale
-    int partitions = 1;
+    std::int64_t cpu_milli = 1000;  ///< what the node may use of its processor
+    int partitions = 0;             ///< 0: by the number of targets when the cell first starts
     milliseconds lease{4500};
 };
 
@@ -50,7 +51,4 @@
     std::shared_ptr<impl> m_impl;
 };
 
-/// The partition that keeps a job.
-int home_partition_of(std::string_view job, int partitions);
-
 } // namespace medlarhub
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -153,6 +153,19 @@
         });
     }
 
+    std::map<std::string, cap_want> cap_wants() const {
+        const std::lock_guard lock{m_mutex};
+        return m_engine && m_status == partition_status::active ? m_engine->cap_wants()
+                                                                : std::map<std::string, cap_want>{};
+    }
+
+    void set_cap_shares(std::map<std::string, double> shares) {
+        locked([&](instant) {
+            if (m_engine)
+                m_engine->set_cap_shares(std::move(shares));
+        });
+    }
+
     partition_status status() const {
         const std::lock_guard lock{m_mutex};
         return m_status;
@@ -446,6 +459,7 @@
         engine_options options;
         options.epoch = *epoch;
         options.lease = m_options.lease;
+        options.partitions = m_options.partitions;
         const auto lapse = static_cast<double>(m_options.lease.count()) * lease_drift;
         options.unknown_runs = confirm_bound + milliseconds{static_cast<std::int64_t>(lapse)};
         locked([&](instant at) {
@@ -627,6 +641,12 @@
 void owned_partition::depose(std::string_view reason) {
     m_impl->depose(reason);
 }
+std::map<std::string, cap_want> owned_partition::cap_wants() const {
+    return m_impl->cap_wants();
+}
+void owned_partition::set_cap_shares(std::map<std::string, double> shares) {
+    m_impl->set_cap_shares(std::move(shares));
+}
 bool owned_partition::troubled() const {
     return m_impl->troubled();
 }
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -6,6 +6,7 @@
 #include "jobs.pb.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -25,6 +26,7 @@
     std::string owner; ///< this node and its incarnation
     std::string peer_address;
     milliseconds lease{4500};
+    int partitions = 1; ///< of the cell
 };
 
 /// What an owned partition reaches.
@@ -60,6 +62,10 @@
     void call(const pb::job_call& call, job_callback done);
     void tick();
 
+    /// See `job_engine`; empty while the partition isn't active.
+    [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
+    void set_cap_shares(std::map<std::string, double> shares);
+
     /// Closes it: another node owns the partition by now.
     void depose(std::string_view reason);
 
--- a/src/cell/succession.h
+++ b/src/cell/succession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -8,11 +9,19 @@
 /// A live node that may become the owner of a partition.
 struct candidate_owner {
     std::string node;
-    bool hears_table = false; ///< it had an answer of the table lately
+    bool hears_table = false;   ///< it had an answer of the table lately
+    std::int64_t cpu_milli = 0; ///< what it may use of its processor
+    int owned = 0;              ///< partitions that it owns, as far as is known
 };
 
 /// The node to which a partition falls when `leaver` doesn't own it any more; every node works it out for
 /// itself. A node that the table turns away can't take anything, so that it is passed over while others can.
+/// Of the rest those with the most processor are taken, since an owner's processor bounds its partition, and
+/// of these one that owns the fewest.
 std::string successor_of(int partition, const std::vector<candidate_owner>& live, const std::string& leaver);
 
+/// Whether the partition is better off with `heir` than with `owner`: it has far more processor, or `owner`
+/// owns several while `heir` owns fewer even after it took one.
+bool worth_moving(const candidate_owner& owner, const candidate_owner& heir);
+
 } // namespace medlarhub
--- a/src/jobs/advice_lanes.cpp
+++ b/src/jobs/advice_lanes.cpp
@@ -13,6 +13,18 @@
 
 } // namespace
 
+std::vector<std::string> lanes_of(int partition, int partitions, std::vector<std::string> nodes) {
+    std::ranges::sort(nodes);
+    const auto count = static_cast<std::size_t>(std::max(partitions, 1));
+    const auto first = static_cast<std::size_t>(partition);
+    if (nodes.size() <= first)
+        return nodes;
+    std::vector<std::string> own;
+    for (auto i = first; i < nodes.size(); i += count)
+        own.push_back(nodes[i]);
+    return own;
+}
+
 void advice_lanes::set_nodes(std::vector<std::string> nodes) {
     std::ranges::sort(nodes);
     m_nodes = std::move(nodes);
--- a/src/jobs/advice_lanes.h
+++ b/src/jobs/advice_lanes.h
@@ -9,6 +9,10 @@
 
 namespace medlarhub {
 
+/// The nodes through which one of several partitions asks. The service takes one question of a node at a
+/// time, so that two partitions that plan the same node would wait for each other unseen.
+std::vector<std::string> lanes_of(int partition, int partitions, std::vector<std::string> nodes);
+
 /// Spreads questions over nodes, to a service that serves one question of each node at a time. Answers a pile
 /// of waiting jobs, whose questions would outlast their tickets if all were asked at once: a node gets its
 /// next question when the last one is nearly answered, so that what waits is asked in its order of turn. Long
--- /dev/null
+++ b/src/jobs/cap_division.cpp
@@ -0,0 +1,115 @@
+#include "jobs/cap_division.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <vector>
+
+namespace medlarhub {
+
+namespace {
+
+/// Changes below this part of the limit aren't written.
+constexpr double least_change = 0.01;
+/// Nor are changes of what is held below this.
+constexpr double held_change = 0.05;
+
+bool near(double left, double right, double tolerance) {
+    return std::abs(left - right) < tolerance;
+}
+
+/// What each partition should have, by what all of them last wrote.
+std::map<int, double> goals(const pb::cap_division& row) {
+    std::map<int, double> goal;
+    std::vector<std::pair<std::uint64_t, int>> turns;
+    double left = 1;
+    double more = 0;
+    for (const auto& [number, part] : row.parts()) {
+        goal[number] = part.held();
+        left -= part.held();
+        more += part.more();
+        if (part.turn() > 0)
+            turns.emplace_back(part.turn(), number);
+    }
+    left = std::max(left, 0.0);
+    std::ranges::sort(turns);
+    for (const auto& [turn, number] : turns) {
+        const auto given = std::min(row.parts().at(number).next(), left);
+        goal[number] += given;
+        left -= given;
+    }
+    const auto for_more = std::min(more, left);
+    const auto spare = (left - for_more) / static_cast<double>(std::max<std::size_t>(goal.size(), 1));
+    for (auto& [number, part] : goal) {
+        part += spare;
+        if (more > 0)
+            part += for_more * row.parts().at(number).more() / more;
+    }
+    return goal;
+}
+
+void take_turn(pb::cap_division& row, pb::cap_part& mine, const pb::cap_part& before, const cap_want& want) {
+    if (want.next <= 0) {
+        mine.set_turn(0);
+        return;
+    }
+    // Whoever got something goes to the end.
+    const bool served = want.held > before.held() + least_change;
+    if (mine.turn() > 0 && !served)
+        return;
+    row.set_last_turn(row.last_turn() + 1);
+    mine.set_turn(row.last_turn());
+}
+
+bool worth_writing(const pb::cap_part& before, const pb::cap_part& after) {
+    return before.epoch() != after.epoch() || (before.turn() == 0) != (after.turn() == 0) ||
+           !near(before.share(), after.share(), least_change) ||
+           !near(before.next(), after.next(), least_change) ||
+           !near(before.more(), after.more(), held_change) || !near(before.held(), after.held(), held_change);
+}
+
+} // namespace
+
+double usual_cap_share(int partitions) {
+    return 1.0 / std::max(partitions, 1);
+}
+
+std::optional<pb::cap_division> divide_cap(const pb::cap_division& row, int partitions, int number,
+                                           std::uint64_t epoch, const cap_want& want) {
+    auto next = row;
+    auto& parts = *next.mutable_parts();
+    for (int i = 0; i < partitions; ++i) {
+        if (!parts.contains(i))
+            parts[i].set_share(usual_cap_share(partitions));
+    }
+    auto& mine = parts.at(number);
+    if (mine.epoch() > epoch)
+        return {}; // a later owner of the partition divides by now
+    const auto before = mine;
+    mine.set_epoch(epoch);
+    mine.set_held(want.held);
+    mine.set_next(std::min(want.next, 1.0));
+    mine.set_more(std::min(want.more, 1.0));
+    take_turn(next, mine, before, want);
+    const auto goal = goals(next);
+    double others = 0;
+    bool others_lack = false;
+    for (const auto& [each, part] : parts) {
+        if (each == number)
+            continue;
+        others += part.share();
+        others_lack = others_lack || part.share() + least_change < goal.at(each);
+    }
+    const auto present = mine.share();
+    auto share = present;
+    if (goal.at(number) > present)
+        share = std::max(present, std::min(goal.at(number), 1 - others));
+    else if (others_lack)
+        share = std::max(goal.at(number), std::min(want.held, present));
+    mine.set_share(share);
+    if (!worth_writing(before, mine))
+        return {};
+    return next;
+}
+
+} // namespace medlarhub
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -2,6 +2,7 @@
 
 #include "jobs/advice_book.h"
 #include "jobs/advice_lanes.h"
+#include "jobs/cap_division.h"
 #include "jobs/cell_config.h"
 #include "jobs/target_table.h"
 #include "jobs/task_name.h"
@@ -23,6 +24,7 @@
 
 struct engine_options {
     std::uint64_t epoch = 1;
+    int partitions = 1;              ///< of the cell, each with an engine of its own
     milliseconds lease{4500};        ///< asked for at each poll and start
     milliseconds poll_wait{1000};    ///< how long a target may hold a poll that has no news
     milliseconds idle_poll{4000};    ///< between polls of a target that runs nothing
@@ -173,6 +175,13 @@
     /// The nodes through which questions may be asked.
     void set_advisers(std::vector<std::string> nodes);
 
+    // Upper limits of teams.
+    /// What the partition does under the limits of teams that have any work here.
+    [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
+    /// The partition's part of limits, by team; teams that aren't named have the usual one. With several
+    /// partitions nothing of a limited team starts before this was told once.
+    void set_cap_shares(std::map<std::string, double> shares);
+
     void tick(instant at);
     /// True once a target refused this owner's epoch.
     [[nodiscard]] bool fenced() const { return m_fenced; }
@@ -313,6 +322,8 @@
     [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
+    /// What the team's limit held back in this pass.
+    void note_over_cap(const ready_step& ready, const resources& unit);
     [[nodiscard]] int next_number(int last) const;
 
     engine_options m_options;
@@ -328,6 +339,13 @@
     bool m_doubt = false;
     instant m_next_gang_check{};
     std::map<std::string, resources> m_held; ///< by team
+    bool m_caps_known = false;
+    std::map<std::string, double> m_cap_shares; ///< by team, where not the usual one
+    struct held_back {
+        resources next; ///< what the first work in the order of turns needs at once
+        resources more;
+    };
+    std::map<std::string, held_back> m_over_cap; ///< by team, in the last pass
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended; ///< by time of their end
 
@@ -381,5 +399,7 @@
 std::optional<std::string> fault_of(const pb::job_spec& spec);
 
 resources need_of(const pb::step_spec& step);
+/// What so many tasks of that need hold together.
+resources times(const resources& need, std::int64_t count);
 
 } // namespace medlarhub
--- /dev/null
+++ b/src/jobs/engine_caps.cpp
@@ -0,0 +1,96 @@
+// Upper limits of teams: what may start under this partition's part of them.
+
+#include "jobs/engine.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+/// From here on a partition has a limit to itself.
+constexpr double whole_share = 0.999;
+
+/// How much of the limit that is, by the resource of which it is most.
+double part_of(const resources& cap, const resources& used) {
+    const auto part = [](std::int64_t limit, std::int64_t amount) {
+        return limit <= 0
+                   ? 0.0
+                   : static_cast<double>(std::max<std::int64_t>(amount, 0)) / static_cast<double>(limit);
+    };
+    return std::max({part(cap.cpu_milli, used.cpu_milli), part(cap.memory_mb, used.memory_mb),
+                     part(cap.accelerators, used.accelerators)});
+}
+
+bool is_limit(const resources& cap) {
+    return cap.cpu_milli > 0 || cap.memory_mb > 0 || cap.accelerators > 0;
+}
+
+} // namespace
+
+resources times(const resources& need, std::int64_t count) {
+    return {need.cpu_milli * count, need.memory_mb * count, need.accelerators * count};
+}
+
+bool job_engine::within_cap(const std::string& team, const resources& need) const {
+    const auto policy = m_config->teams.find(team);
+    if (policy == m_config->teams.end() || !is_limit(policy->second.cap))
+        return true;
+    if (m_options.partitions > 1 && !m_caps_known)
+        return false;
+    const auto own = m_cap_shares.find(team);
+    const auto share = own == m_cap_shares.end() ? usual_cap_share(m_options.partitions) : own->second;
+    const auto& cap = policy->second.cap;
+    const auto found = m_held.find(team);
+    const auto held = found == m_held.end() ? resources{} : found->second;
+    const auto fits = [&](std::int64_t limit, std::int64_t used, std::int64_t more) {
+        const auto part = static_cast<std::int64_t>(static_cast<double>(limit) * share);
+        // Work that is wider than the whole limit runs alone.
+        const bool alone = used <= 0 && share >= whole_share;
+        return limit <= 0 || more <= 0 || used + more <= part || alone;
+    };
+    return fits(cap.cpu_milli, held.cpu_milli, need.cpu_milli) &&
+           fits(cap.memory_mb, held.memory_mb, need.memory_mb) &&
+           fits(cap.accelerators, held.accelerators, need.accelerators);
+}
+
+void job_engine::note_over_cap(const ready_step& ready, const resources& unit) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto& step =
+        ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    const auto queued = std::ranges::count_if(
+        step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
+    auto more = times(need_of(spec), queued);
+    auto [found, first] = m_over_cap.try_emplace(ready.job->team);
+    if (first) {
+        found->second.next = unit;
+        more -= unit;
+    }
+    found->second.more += more;
+}
+
+std::map<std::string, cap_want> job_engine::cap_wants() const {
+    std::map<std::string, cap_want> wants;
+    for (const auto& [name, team] : m_config->teams) {
+        const auto held = m_held.find(name);
+        const auto back = m_over_cap.find(name);
+        if (!is_limit(team.cap) || (held == m_held.end() && back == m_over_cap.end()))
+            continue;
+        auto& want = wants[name];
+        if (held != m_held.end())
+            want.held = part_of(team.cap, held->second);
+        if (back == m_over_cap.end())
+            continue;
+        want.next = part_of(team.cap, back->second.next);
+        want.more = part_of(team.cap, back->second.more);
+    }
+    return wants;
+}
+
+void job_engine::set_cap_shares(std::map<std::string, double> shares) {
+    m_changed = m_changed || !m_caps_known || shares != m_cap_shares;
+    m_caps_known = true;
+    m_cap_shares = std::move(shares);
+}
+
+} // namespace medlarhub
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -46,25 +46,11 @@
            !m_drained.contains(target.entry.data_centre);
 }
 
-bool job_engine::within_cap(const std::string& team, const resources& need) const {
-    const auto policy = m_config->teams.find(team);
-    if (policy == m_config->teams.end())
-        return true;
-    const auto& cap = policy->second.cap;
-    const auto found = m_held.find(team);
-    const auto held = found == m_held.end() ? resources{} : found->second;
-    const auto fits = [](std::int64_t limit, std::int64_t used, std::int64_t more) {
-        return limit <= 0 || more <= 0 || used + more <= limit || used <= 0;
-    };
-    return fits(cap.cpu_milli, held.cpu_milli, need.cpu_milli) &&
-           fits(cap.memory_mb, held.memory_mb, need.memory_mb) &&
-           fits(cap.accelerators, held.accelerators, need.accelerators);
-}
-
 void job_engine::schedule(instant at) {
     if (!m_changed || at < m_pass_after)
         return;
     m_changed = false;
+    m_over_cap.clear();
     m_stray_tasks.clear();
     for (const auto& [id, target] : m_targets) {
         for (const auto& stray : target.strays)
@@ -165,8 +151,11 @@
                                                   std::set<std::string>& reserved) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
-    if (!within_cap(ready.job->team, need))
+    const auto unit = spec.gang() ? times(need, spec.count()) : need;
+    if (!within_cap(ready.job->team, unit)) {
+        note_over_cap(ready, unit);
         return step_result::over_cap;
+    }
     auto all = candidates(at, ready);
     const auto queue = m_config->queues.find(ready.job->queue);
     if (queue == m_config->queues.end())
@@ -203,7 +192,11 @@
             m_changed = true;
             continue;
         }
-        if (!durable || !within_cap(ready.job->team, need)) {
+        if (durable && !within_cap(ready.job->team, need)) {
+            note_over_cap(ready, need);
+            return step_result::over_cap;
+        }
+        if (!durable) {
             left = true;
             break;
         }
@@ -251,9 +244,6 @@
         last = std::max(last, task.last_run);
     }
     const auto count = static_cast<std::int64_t>(step.tasks.size());
-    const resources total{need.cpu_milli * count, need.memory_mb * count, need.accelerators * count};
-    if (!within_cap(ready.job->team, total))
-        return false;
     std::map<std::string, std::vector<target_state*>> groups;
     for (auto* target : candidates)
         groups[spec.same_rack() ? target->entry.rack : std::string{}].push_back(target);
--- a/src/jobs/waiting_order.cpp
+++ b/src/jobs/waiting_order.cpp
@@ -9,6 +9,8 @@
 
 /// Seconds of a team's rate that it can save up.
 constexpr double burst_s = 2;
+/// Jobs that it can save up at least.
+constexpr double least_burst = 2;
 
 int lateness(instant at, const waiting_step& step) {
     if (at <= step.due)
@@ -27,13 +29,14 @@
 bool rate_allowance::take(instant at, double per_second) {
     if (per_second <= 0)
         return true;
+    const auto most = std::max(per_second * burst_s, least_burst);
     if (!m_used) {
         m_used = true;
-        m_saved = per_second * burst_s;
+        m_saved = most;
         m_last = at;
     }
     const auto passed = std::chrono::duration<double>(at - m_last).count();
-    m_saved = std::min(per_second * burst_s, m_saved + passed * per_second);
+    m_saved = std::min(most, m_saved + passed * per_second);
     m_last = at;
     if (m_saved < 1)
         return false;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -121,6 +121,13 @@
         update(at, found->second, info);
 }
 
+void membership::set_without_table(bool without) {
+    if (m_self.without_table() == without)
+        return;
+    m_self.set_without_table(without);
+    m_self.set_incarnation(m_self.incarnation() + 1);
+}
+
 void membership::leave() {
     m_self.set_state(pb::member::left);
     m_self.set_incarnation(m_self.incarnation() + 1);
