Keep a team's jobs in few partitions, use limits in order of turn, and few relays for each owner

Change: the layout gives each team the partitions that keep its jobs, mostly one, so that one owner counts its limit; rows divide the limit only where a team has several. In a pass nothing of a team starts past a step that its limit holds back. Layouts pass by gossip. An owner uses as many relays in a data centre as its targets there ask for, and entries of targets are decoded only when they change.

--- a/src/cell/call_router.cpp
+++ b/src/cell/call_router.cpp
@@ -23,6 +23,15 @@
     return call.what() == pb::job_call::state || call.what() == pb::job_call::count_pending;
 }
 
+/// Adds one partition's answer to those of others.
+void add_answer(pb::job_answer& sum, const pb::job_answer& answer) {
+    if (sum.result() == pb::job_answer::ok && answer.result() == pb::job_answer::ok)
+        return sum.set_pending(sum.pending() + answer.pending());
+    const bool job_found = sum.result() == pb::job_answer::ok && sum.state() != pb::job_answer::none;
+    if (!job_found && answer.result() != pb::job_answer::not_found)
+        sum = answer;
+}
+
 } // namespace
 
 struct call_router::routed_call {
@@ -56,15 +65,14 @@
     };
     const auto all = std::make_shared<collected>();
     all->missing = partitions;
+    all->sum.set_result(call.what() == pb::job_call::count_pending ? pb::job_answer::ok
+                                                                   : pb::job_answer::not_found);
     for (int number = 0; number < partitions; ++number) {
         call.set_partition(number);
         this->call(call, [all, done](const pb::job_answer& answer) {
             {
                 const std::lock_guard lock{all->mutex};
-                const auto pending = all->sum.pending() + answer.pending();
-                if (answer.result() != pb::job_answer::ok)
-                    all->sum = answer;
-                all->sum.set_pending(pending);
+                add_answer(all->sum, answer);
                 if (--all->missing > 0)
                     return;
             }
--- a/src/cell/cap_sync.cpp
+++ b/src/cell/cap_sync.cpp
@@ -37,42 +37,51 @@
     return true;
 }
 
-void cap_sync::round(const std::vector<cap_member>& members) {
+void cap_sync::round(const cell_layout& layout, const std::vector<cap_member>& members) {
     std::erase_if(m_members, [&](const auto& known) {
         return std::ranges::find(members, known.first, &cap_member::number) == members.end();
     });
     if (members.empty() || !read_rows())
         return;
     for (const auto& member : members)
-        serve(member);
+        serve(layout, member);
 }
 
-void cap_sync::serve(const cap_member& member) {
+void cap_sync::serve(const cell_layout& layout, const cap_member& member) {
     auto& state = m_members[member.number];
     if (state.epoch != member.epoch)
         state = {member.epoch, {}, {}};
     std::set<std::string> teams;
     for (const auto& [team, row] : m_teams)
         teams.insert(team);
-    const auto usual = usual_cap_share(m_partitions);
-    for (const auto& [team, want] : member.wants) {
-        if (want.next > 0 || want.held > usual)
+    // The only partition that keeps a team's jobs has all of its limit, until another one needs some.
+    for (const auto& [team, homes] : layout.teams) {
+        const auto usual = usual_cap_share(layout, team, member.number);
+        state.shares.try_emplace(team, usual);
+        const auto want = member.wants.find(team);
+        const bool lacks = want != member.wants.end() && usual < 1 &&
+                           (want->second.next > 0 || want->second.held > usual);
+        if (lacks)
             teams.insert(team);
     }
     for (const auto& team : teams)
-        divide(member, state, team);
+        divide(layout, member, state, team);
     member.set_shares(state.shares);
 }
 
-void cap_sync::divide(const cap_member& member, member_state& state, const std::string& team) {
+void cap_sync::divide(const cell_layout& layout, const cap_member& member, member_state& state,
+                      const std::string& team) {
     auto& row = m_teams[team];
+    for (int i = 0; i < layout.partitions; ++i) {
+        if (!row.division.parts().contains(i))
+            (*row.division.mutable_parts())[i].set_share(usual_cap_share(layout, team, i));
+    }
     const auto want = member.wants.find(team);
     const auto none = cap_want{};
-    const auto divided = divide_cap(row.division, m_partitions, member.number, member.epoch,
+    const auto divided = divide_cap(row.division, member.number, member.epoch,
                                     want == member.wants.end() ? none : want->second);
     const auto share_in = [&](const pb::cap_division& division) {
-        const auto part = division.parts().find(member.number);
-        return part == division.parts().end() ? usual_cap_share(m_partitions) : part->second.share();
+        return division.parts().at(member.number).share();
     };
     // A late write of before may change the row as long as nothing was written after it.
     const bool settle = state.unsure.contains(team);
--- a/src/cell/cap_sync.h
+++ b/src/cell/cap_sync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/cell_layout.h"
 #include "jobs/cap_division.h"
 
 #include "medlarhub/platform.h"
@@ -26,10 +27,10 @@
 /// written, one that grows only after it. Calls block; one thread at a time.
 class cap_sync {
 public:
-    cap_sync(table& rows, int partitions) : m_rows{rows}, m_partitions{partitions} {}
+    explicit cap_sync(table& rows) : m_rows{rows} {}
 
     /// One look at the rows for the partitions of this node. While the table gives no answer all parts stay.
-    void round(const std::vector<cap_member>& members);
+    void round(const cell_layout& layout, const std::vector<cap_member>& members);
 
 private:
     struct team_row {
@@ -45,11 +46,11 @@
     };
 
     [[nodiscard]] bool read_rows();
-    void serve(const cap_member& member);
-    void divide(const cap_member& member, member_state& state, const std::string& team);
+    void serve(const cell_layout& layout, const cap_member& member);
+    void divide(const cell_layout& layout, const cap_member& member, member_state& state,
+                const std::string& team);
 
     table& m_rows;
-    int m_partitions;
     std::map<std::string, team_row> m_teams;
     std::map<int, member_state> m_members;
 };
--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -4,6 +4,8 @@
 #include "medlarhub/reason.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 #include <set>
 #include <tuple>
 
@@ -16,6 +18,20 @@
 constexpr std::size_t most_in_one = 160;
 constexpr int most_partitions = 1000;
 constexpr std::uint64_t made_up_racks = 64;
+/// A team's limit is to be at most this part of the partitions that keep its jobs.
+constexpr double most_of_partition = 0.6;
+
+/// How many partitions keep a team's jobs.
+std::size_t spread_of(const team_policy& team, double sent_part, const resources& fleet, std::size_t partitions) {
+    const auto part = [](std::int64_t cap, std::int64_t all) {
+        return cap > 0 && all > 0 ? static_cast<double>(cap) / static_cast<double>(all) : 0.0;
+    };
+    const auto limit =
+        std::max({part(team.cap.cpu_milli, fleet.cpu_milli), part(team.cap.memory_mb, fleet.memory_mb),
+                  part(team.cap.accelerators, fleet.accelerators)});
+    const auto wanted = (limit > 0 ? limit : sent_part) * static_cast<double>(partitions) / most_of_partition;
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(wanted)), 1, partitions);
+}
 
 } // namespace
 
@@ -76,14 +92,77 @@
     return slice;
 }
 
-int home_partition_of(std::string_view job, int partitions) {
-    return static_cast<int>(stable_hash(job) % static_cast<std::uint64_t>(std::max(partitions, 1)));
+bool covers(const cell_layout& layout, const cell_config& config) {
+    return std::ranges::all_of(config.teams,
+                               [&](const auto& team) { return layout.teams.contains(team.first); });
+}
+
+cell_layout with_teams_of(cell_layout layout, const cell_config& config, const resources& fleet) {
+    const auto count = static_cast<std::size_t>(std::max(layout.partitions, 1));
+    // A team that states no share counts as a small one.
+    const auto sent_by = [](const team_policy& team) { return std::max(team.jobs_per_second, 1.0); };
+    double sent_by_all = 0;
+    for (const auto& [name, team] : config.teams)
+        sent_by_all += sent_by(team);
+    std::vector<double> load(count);
+    std::vector<const team_policy*> missing;
+    for (const auto& [name, team] : config.teams) {
+        const auto known = layout.teams.find(name);
+        if (known == layout.teams.end()) {
+            missing.push_back(&team);
+            continue;
+        }
+        for (const auto partition : known->second)
+            load.at(static_cast<std::size_t>(partition)) +=
+                sent_by(team) / static_cast<double>(known->second.size());
+    }
+    std::ranges::stable_sort(missing, std::ranges::greater{}, [&](const auto* team) { return sent_by(*team); });
+    for (const auto* team : missing) {
+        const auto spread = spread_of(*team, sent_by(*team) / sent_by_all, fleet, count);
+        std::vector<int> order(count);
+        std::iota(order.begin(), order.end(), 0);
+        std::ranges::stable_sort(order, {}, [&](int each) { return load[static_cast<std::size_t>(each)]; });
+        order.resize(spread);
+        std::ranges::sort(order);
+        for (const auto partition : order)
+            load[static_cast<std::size_t>(partition)] += sent_by(*team) / static_cast<double>(spread);
+        layout.teams[team->name] = order;
+    }
+    return layout;
+}
+
+std::optional<int> home_partition_of(const cell_layout& layout, const std::string& team, std::string_view job) {
+    if (layout.partitions <= 1)
+        return layout.partitions == 1 ? std::optional{0} : fail("the cell is not divided yet");
+    const auto hash = stable_hash(job);
+    if (team.empty())
+        return static_cast<int>(hash % static_cast<std::uint64_t>(layout.partitions));
+    const auto homes = layout.teams.find(team);
+    if (homes == layout.teams.end() || homes->second.empty())
+        return fail("the team has no partition yet");
+    return homes->second[hash % homes->second.size()];
+}
+
+double usual_cap_share(const cell_layout& layout, const std::string& team, int partition) {
+    const auto homes = layout.teams.find(team);
+    if (homes == layout.teams.end() || std::ranges::find(homes->second, partition) == homes->second.end())
+        return 0;
+    return 1.0 / static_cast<double>(homes->second.size());
+}
+
+resources capacity_of(const std::vector<target_entry>& targets) {
+    resources all;
+    for (const auto& target : targets)
+        all += target.capacity;
+    return all;
 }
 
 std::string to_text(const cell_layout& layout) {
     pb::cell_layout row;
     row.set_partitions(layout.partitions);
     row.mutable_racks()->insert(layout.racks.begin(), layout.racks.end());
+    for (const auto& [team, partitions] : layout.teams)
+        (*row.mutable_teams())[team].mutable_partitions()->Assign(partitions.begin(), partitions.end());
     return row.SerializeAsString();
 }
 
@@ -100,6 +179,13 @@
             return fail("the layout gives " + rack + " to partition " + std::to_string(partition));
         layout.racks[rack] = partition;
     }
+    for (const auto& [team, homes] : row.teams()) {
+        for (const auto partition : homes.partitions()) {
+            if (partition < 0 || partition >= row.partitions())
+                return fail("the layout gives " + team + " to partition " + std::to_string(partition));
+            layout.teams[team].push_back(partition);
+        }
+    }
     return layout;
 }
 
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -155,14 +155,27 @@
     }
 
     void call(pb::job_call call, job_callback done) {
-        const int partitions = partition_count();
-        if (partitions == 0)
-            return done(
-                make_job_answer(pb::job_answer::not_run, "the cell is not divided yet", no_layout_retry));
-        if (call.what() == pb::job_call::count_pending)
+        std::optional<int> home;
+        int partitions = 0;
+        {
+            const std::lock_guard lock{m_mutex};
+            partitions = m_layout.partitions;
+            home = home_partition_of(m_layout, call.team(), call.id());
+        }
+        const bool counts = call.what() == pb::job_call::count_pending;
+        if (partitions == 0 || (!home && !counts))
+            return done(make_job_answer(pb::job_answer::not_run, last_reason(), no_layout_retry));
+        if (counts)
             return m_router->call_all(std::move(call), partitions, std::move(done));
-        call.set_partition(home_partition_of(call.id(), partitions));
-        m_router->call(std::move(call), std::move(done));
+        call.set_partition(*home);
+        if (partitions == 1 || call.what() == pb::job_call::submit)
+            return m_router->call(std::move(call), std::move(done));
+        // A job of a queue that is open to all, or was, may have come without its team.
+        m_router->call(call, [this, call, partitions, done = std::move(done)](const pb::job_answer& answer) {
+            if (answer.result() != pb::job_answer::not_found)
+                return done(answer);
+            m_router->call_all(call, partitions, done);
+        });
     }
 
     std::shared_ptr<owned_partition> local_partition(int number) const override {
@@ -182,7 +195,11 @@
 
     pb::gossip on_exchange(const pb::gossip& message) override {
         take_gossip(message);
-        return make_gossip();
+        auto reply = make_gossip();
+        const std::lock_guard lock{m_mutex};
+        if (message.layout_version() < m_layout_version)
+            reply.set_layout(to_text(m_layout));
+        return reply;
     }
 
     void on_jobs(const pb::job_calls& calls, std::function<void(pb::job_answers)> done) override {
@@ -337,19 +354,22 @@
         m_next_layout = at + layout_retry;
         cell_layout known;
         std::vector<target_entry> targets;
+        std::shared_ptr<const cell_config> config;
         instant grown;
         {
             const std::lock_guard lock{m_mutex};
             known = m_layout;
             targets = m_targets;
+            config = m_declared.config;
             grown = m_targets_grown;
             m_divides =
                 known.partitions == 0 && m_joined && successor_of(0, candidates(at), {}) == m_options.node;
         }
-        const bool needs_racks = !partitions().empty() && !covers(known, targets);
-        if (known.partitions > 0 && !needs_racks)
+        if (!config)
             return;
-        if (!m_layout_keeper.refresh())
+        const bool owner = !partitions().empty();
+        const bool lacks = !covers(known, *config) || (owner && !covers(known, targets));
+        if ((known.partitions > 0 && !lacks) || !m_layout_keeper.refresh())
             return;
         auto next = m_layout_keeper.layout();
         const bool divide = m_divides && next.partitions == 0 && !targets.empty() &&
@@ -357,23 +377,27 @@
         if (divide)
             next.partitions =
                 m_options.partitions > 0 ? m_options.partitions : partitions_for(targets.size());
-        if (next.partitions > 0 && (divide || needs_racks))
+        if (next.partitions > 0 && (divide || owner)) {
             next = with_racks_of(std::move(next), targets);
+            next = with_teams_of(std::move(next), *config, capacity_of(targets));
+        }
         if (next != m_layout_keeper.layout() && !m_layout_keeper.replace(next))
             return;
-        use_layout(m_layout_keeper.layout());
+        use_layout(m_layout_keeper.layout(), m_layout_keeper.version());
     }
 
-    void use_layout(const cell_layout& layout) {
+    void use_layout(const cell_layout& layout, std::int64_t version) {
         {
             const std::lock_guard lock{m_mutex};
-            if (layout == m_layout)
+            if (version <= m_layout_version)
                 return;
             m_layout = layout;
+            m_layout_version = version;
         }
         log_event(log_level::info, "layout_known",
                   {{"partitions", std::to_string(layout.partitions)},
-                   {"racks", std::to_string(layout.racks.size())}});
+                   {"racks", std::to_string(layout.racks.size())},
+                   {"teams", std::to_string(layout.teams.size())}});
         pass_targets_on();
     }
 
@@ -442,7 +466,7 @@
         message.set_incarnation(m_incarnation);
         message.set_store_age_ms((now() - m_table_heard.load()).count());
         const std::lock_guard lock{m_mutex};
-        message.set_partition_count(m_layout.partitions);
+        message.set_layout_version(m_layout_version);
         for (const auto& update : m_members.updates())
             *message.add_members() = update;
         for (const auto& [number, view] : m_owners) {
@@ -457,9 +481,9 @@
 
     void take_gossip(const pb::gossip& message) {
         const auto at = now();
+        if (!message.layout().empty())
+            take_layout(message);
         const std::lock_guard lock{m_mutex};
-        if (m_layout.partitions == 0 && message.partition_count() > 0)
-            m_layout.partitions = message.partition_count(); // its racks are read by owners only
         for (const auto& update : message.members())
             m_members.merge(at, update);
         for (const auto& summary : message.partitions()) {
@@ -470,6 +494,14 @@
         m_reports[message.from()] = {at, at - milliseconds{message.store_age_ms()}};
     }
 
+    void take_layout(const pb::gossip& message) {
+        const auto layout = parse_layout(message.layout());
+        if (layout)
+            return use_layout(*layout, message.layout_version());
+        log_event(log_level::warning, "layout_unreadable",
+                  {{"from", message.from()}, {"reason", last_reason()}});
+    }
+
     void learn_owner(int number, const owner_view& view) {
         auto& known = m_owners[number];
         if (view.epoch <= known.epoch)
@@ -864,7 +896,8 @@
             for (const auto& node : live) {
                 const auto member = m_members.find(node);
                 if (member && node != m_options.node && !m_members.suspected(node))
-                    relays.push_back({node, member->peer_address(), member->data_centre()});
+                    relays.push_back(
+                        {node, member->peer_address(), member->data_centre(), member->cpu_milli()});
             }
         }
         m_relayed.set_relays(relays);
@@ -891,13 +924,15 @@
     // ---- Upper limits ----
 
     void divide_caps() {
-        std::unique_ptr<cap_sync> sync;
+        cap_sync sync{*m_ports.rows};
         while (pause(cap_period)) {
-            const int count = partition_count();
-            if (count < 2)
+            cell_layout layout;
+            {
+                const std::lock_guard lock{m_mutex};
+                layout = m_layout;
+            }
+            if (layout.partitions < 2)
                 continue; // the only partition has all of each limit
-            if (!sync)
-                sync = std::make_unique<cap_sync>(*m_ports.rows, count);
             std::vector<cap_member> members;
             for (const auto& [number, owned] : partitions()) {
                 if (owned->status() == partition_status::active)
@@ -906,7 +941,7 @@
                                            owned->set_cap_shares(std::move(shares));
                                        }});
             }
-            sync->round(members);
+            sync.round(layout, members);
         }
     }
 
@@ -961,6 +996,7 @@
     bool m_targets_known = false;
     instant m_targets_grown{};
     cell_layout m_layout;
+    std::int64_t m_layout_version = 0;
 
     // Used by the ownership thread only.
     instant m_next_heir{};
--- a/src/cell/layout_keeper.h
+++ b/src/cell/layout_keeper.h
@@ -19,6 +19,7 @@
     bool replace(const cell_layout& next);
 
     [[nodiscard]] const cell_layout& layout() const { return m_layout; }
+    [[nodiscard]] std::int64_t version() const { return m_version; }
 
 private:
     table& m_rows;
--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -6,9 +6,11 @@
 
 #include "medlarhub/hash.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace medlarhub {
@@ -21,6 +23,9 @@
 constexpr milliseconds relay_penalty{2000};
 /// A command without a result this long after its timeout is taken as lost.
 constexpr milliseconds result_slack{1000};
+/// What a relay carries for one owner: so many targets for each so much of its processor.
+constexpr std::int64_t cpu_milli_per_target = 8;
+constexpr std::size_t least_relays = 2;
 
 } // namespace
 
@@ -41,11 +46,15 @@
 
     void set_relays(const std::vector<relay_node>& nodes) {
         const std::lock_guard lock{m_mutex};
-        m_relays.clear();
+        if (nodes == m_given)
+            return;
+        m_given = m_nodes = nodes;
+        // In an order of this owner's own, so that owners use unlike relays.
+        std::ranges::sort(m_nodes, {}, [&](const relay_node& node) { return stable_hash(m_name + node.id); });
+        choose_relays();
         std::set<std::string> live;
         for (const auto& node : nodes) {
             live.insert(node.id);
-            m_relays[node.data_centre].push_back(node.id);
             auto& lane = m_lanes[node.id];
             lane.address = node.address;
             if (lane.session == 0)
@@ -58,9 +67,13 @@
 
     void set_targets(const std::vector<target_entry>& targets) {
         const std::lock_guard lock{m_mutex};
-        m_data_centres.clear();
+        std::map<std::string, std::string> data_centres;
         for (const auto& target : targets)
-            m_data_centres[target.id] = target.data_centre;
+            data_centres[target.id] = target.data_centre;
+        if (data_centres == m_data_centres)
+            return;
+        m_data_centres = std::move(data_centres);
+        choose_relays();
     }
 
     void add(open_command open) {
@@ -115,8 +128,28 @@
         std::vector<std::uint64_t> numbers;
     };
 
+    /// As many nodes of each data centre as its targets ask for.
+    void choose_relays() {
+        std::map<std::string, std::int64_t> missing;
+        for (const auto& [target, data_centre] : m_data_centres)
+            missing[data_centre] += cpu_milli_per_target;
+        m_relays.clear();
+        for (const auto& node : m_nodes) {
+            const auto wanted = missing.find(node.data_centre);
+            auto& chosen = m_relays[node.data_centre];
+            if (wanted == missing.end() || (wanted->second <= 0 && chosen.size() >= least_relays))
+                continue;
+            wanted->second -= std::max(node.cpu_milli, cpu_milli_per_target);
+            chosen.push_back(node.id);
+        }
+        m_relay_of.clear();
+    }
+
     /// Empty when the target is to be called straight.
-    std::string relay_of(instant at, const std::string& target) const {
+    std::string relay_of(instant at, const std::string& target) {
+        if (const auto known = m_relay_of.find(target);
+            known != m_relay_of.end() && at >= m_lanes.at(known->second).passed_by_until)
+            return known->second;
         const auto place = m_data_centres.find(target);
         if (place == m_data_centres.end())
             return {};
@@ -125,7 +158,10 @@
             return {};
         auto relays = there->second;
         std::erase_if(relays, [&](const std::string& id) { return at < m_lanes.at(id).passed_by_until; });
-        return rendezvous(relays, target);
+        auto relay = rendezvous(relays, target);
+        if (!relay.empty() && relays.size() == there->second.size())
+            m_relay_of[target] = relay;
+        return relay;
     }
 
     /// False when there is no relay for its target.
@@ -248,7 +284,10 @@
     std::string m_name;
     sender m_send;
     std::mutex m_mutex;                                       ///< guards all that follows
+    std::vector<relay_node> m_given;
+    std::vector<relay_node> m_nodes; ///< the same in the order of use
     std::map<std::string, std::vector<std::string>> m_relays; ///< by data centre
+    std::unordered_map<std::string, std::string> m_relay_of;  ///< by target, while all its relays are used
     std::map<std::string, std::string> m_data_centres;        ///< of targets
     std::map<std::string, relay_lane> m_lanes;                ///< by relay
     std::uint64_t m_last_number = 0;
--- a/src/cell/relayed_targets.h
+++ b/src/cell/relayed_targets.h
@@ -5,6 +5,7 @@
 
 #include "jobs.pb.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,6 +17,9 @@
     std::string id;
     std::string address;
     std::string data_centre;
+    std::int64_t cpu_milli = 0; ///< what it may use of its processor
+
+    friend bool operator==(const relay_node&, const relay_node&) = default;
 };
 
 /// Commands to targets through other nodes in their data centres (see `command_relay`), or straight where
@@ -29,7 +33,7 @@
     /// `name` tells the sessions of this node, in this life, from all others.
     relayed_targets(std::string name, target_port& straight, sender send);
 
-    /// The other nodes that live.
+    /// The other nodes that live. A few in each data centre are used, so that commands share messages.
     void set_relays(const std::vector<relay_node>& nodes);
     void set_targets(const std::vector<target_entry>& targets);
     /// To be called each `relay_spacing` or so.
--- a/src/jobs/cap_division.cpp
+++ b/src/jobs/cap_division.cpp
@@ -70,19 +70,11 @@
 
 } // namespace
 
-double usual_cap_share(int partitions) {
-    return 1.0 / std::max(partitions, 1);
-}
-
-std::optional<pb::cap_division> divide_cap(const pb::cap_division& row, int partitions, int number,
-                                           std::uint64_t epoch, const cap_want& want) {
+std::optional<pb::cap_division> divide_cap(const pb::cap_division& row, int number, std::uint64_t epoch,
+                                           const cap_want& want) {
     auto next = row;
     auto& parts = *next.mutable_parts();
-    for (int i = 0; i < partitions; ++i) {
-        if (!parts.contains(i))
-            parts[i].set_share(usual_cap_share(partitions));
-    }
-    auto& mine = parts.at(number);
+    auto& mine = parts[number];
     if (mine.epoch() > epoch)
         return {}; // a later owner of the partition divides by now
     const auto before = mine;
--- a/src/jobs/cap_division.h
+++ b/src/jobs/cap_division.h
@@ -15,17 +15,15 @@
     double more = 0; ///< what else is held back
 };
 
-/// What a partition may use of a team's limit when nobody has asked for more.
-double usual_cap_share(int partitions);
-
-/// The division of a team's limit after partition `number` of `partitions`, with `epoch` of its owner, took
+/// The division of a team's limit after partition `number`, with `epoch` of its owner, took
 /// what it needs or gave back what others need; nothing when there is nothing to write.
 ///
 /// Answers a limit that is full in some partitions and free in others. Each partition changes its own part
 /// only and the sum of shares never grows above 1, so that no owner counts what others start. Whoever waits
 /// longest gets room for its next work first, all of it before anybody else gets more: a gang as wide as the
 /// limit isn't kept waiting by small work elsewhere.
-std::optional<pb::cap_division> divide_cap(const pb::cap_division& row, int partitions, int number,
-                                           std::uint64_t epoch, const cap_want& want);
+/// The row names all partitions.
+std::optional<pb::cap_division> divide_cap(const pb::cap_division& row, int number, std::uint64_t epoch,
+                                           const cap_want& want);
 
 } // namespace medlarhub
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -178,8 +178,8 @@
     // Upper limits of teams.
     /// What the partition does under the limits of teams that have any work here.
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
-    /// The partition's part of limits, by team; teams that aren't named have the usual one. With several
-    /// partitions nothing of a limited team starts before this was told once.
+    /// The partition's part of limits, by team. With several partitions nothing of a limited team starts before
+    /// its part was told.
     void set_cap_shares(std::map<std::string, double> shares);
 
     void tick(instant at);
@@ -322,7 +322,9 @@
     [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
-    /// What the team's limit held back in this pass.
+    /// Whether the team's limit keeps the step back, by itself or because it does so with one whose turn was
+    /// before: the limit is used in order of turn, so that wide work finds room under it.
+    bool waits_behind_cap(const ready_step& ready, const resources& unit);
     void note_over_cap(const ready_step& ready, const resources& unit);
     [[nodiscard]] int next_number(int last) const;
 
@@ -339,8 +341,7 @@
     bool m_doubt = false;
     instant m_next_gang_check{};
     std::map<std::string, resources> m_held; ///< by team
-    bool m_caps_known = false;
-    std::map<std::string, double> m_cap_shares; ///< by team, where not the usual one
+    std::map<std::string, double> m_cap_shares; ///< by team
     struct held_back {
         resources next; ///< what the first work in the order of turns needs at once
         resources more;
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -36,10 +36,8 @@
     const auto policy = m_config->teams.find(team);
     if (policy == m_config->teams.end() || !is_limit(policy->second.cap))
         return true;
-    if (m_options.partitions > 1 && !m_caps_known)
-        return false;
     const auto own = m_cap_shares.find(team);
-    const auto share = own == m_cap_shares.end() ? usual_cap_share(m_options.partitions) : own->second;
+    const auto share = own != m_cap_shares.end() ? own->second : m_options.partitions > 1 ? 0.0 : 1.0;
     const auto& cap = policy->second.cap;
     const auto found = m_held.find(team);
     const auto held = found == m_held.end() ? resources{} : found->second;
@@ -54,7 +52,18 @@
            fits(cap.accelerators, held.accelerators, need.accelerators);
 }
 
+bool job_engine::waits_behind_cap(const ready_step& ready, const resources& unit) {
+    if (within_cap(ready.job->team, unit) && !m_over_cap.contains(ready.job->team))
+        return false;
+    note_over_cap(ready, unit);
+    return true;
+}
+
 void job_engine::note_over_cap(const ready_step& ready, const resources& unit) {
+    // What is wider than the whole limit keeps nothing else back; it runs when the team runs nothing.
+    const auto policy = m_config->teams.find(ready.job->team);
+    if (policy == m_config->teams.end() || part_of(policy->second.cap, unit) > 1)
+        return;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
         ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
@@ -88,8 +97,7 @@
 }
 
 void job_engine::set_cap_shares(std::map<std::string, double> shares) {
-    m_changed = m_changed || !m_caps_known || shares != m_cap_shares;
-    m_caps_known = true;
+    m_changed = m_changed || shares != m_cap_shares;
     m_cap_shares = std::move(shares);
 }
 
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -152,10 +152,8 @@
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     const auto unit = spec.gang() ? times(need, spec.count()) : need;
-    if (!within_cap(ready.job->team, unit)) {
-        note_over_cap(ready, unit);
+    if (waits_behind_cap(ready, unit))
         return step_result::over_cap;
-    }
     auto all = candidates(at, ready);
     const auto queue = m_config->queues.find(ready.job->queue);
     if (queue == m_config->queues.end())
