Give partitions their part of rates, let gangs hold less back, and keep silence in sums

A team's rate was divided by all partitions though its jobs are in one, so that most counted as beyond its share; gangs without room kept questions for advice from the rest; two gangs held nearly all targets of a partition back, some after their end was worth nothing.

Change: rates follow the layout; one gang reserves at a time, none past its worth or beyond its team's rate; only gangs that have room count against what may be asked for. A count of pending jobs with one silent partition was told as a sum: found by its new test, mended.

--- a/src/cell/call_router.cpp
+++ b/src/cell/call_router.cpp
@@ -23,13 +23,22 @@
     return call.what() == pb::job_call::state || call.what() == pb::job_call::count_pending;
 }
 
-/// Adds one partition's answer to those of others.
-void add_answer(pb::job_answer& sum, const pb::job_answer& answer) {
-    if (sum.result() == pb::job_answer::ok && answer.result() == pb::job_answer::ok)
-        return sum.set_pending(sum.pending() + answer.pending());
-    const bool job_found = sum.result() == pb::job_answer::ok && sum.state() != pb::job_answer::none;
-    if (!job_found && answer.result() != pb::job_answer::not_found)
-        sum = answer;
+/// Adds one partition's count to those of others; without one of them there is no sum.
+void add_count(pb::job_answer& sum, const pb::job_answer& answer) {
+    if (sum.result() != pb::job_answer::ok)
+        return;
+    const auto pending = sum.pending() + answer.pending();
+    sum = answer;
+    sum.set_pending(pending);
+}
+
+/// The answer of the partition that knows the job goes before silence, and silence before not knowing it.
+void add_finding(pb::job_answer& found, const pb::job_answer& answer) {
+    const bool silent = found.result() != pb::job_answer::not_found;
+    if (found.result() == pb::job_answer::ok || answer.result() == pb::job_answer::not_found)
+        return;
+    if (!silent || answer.result() == pb::job_answer::ok)
+        found = answer;
 }
 
 } // namespace
@@ -65,14 +74,14 @@
     };
     const auto all = std::make_shared<collected>();
     all->missing = partitions;
-    all->sum.set_result(call.what() == pb::job_call::count_pending ? pb::job_answer::ok
-                                                                   : pb::job_answer::not_found);
+    const auto add = call.what() == pb::job_call::count_pending ? add_count : add_finding;
+    all->sum.set_result(add == add_count ? pb::job_answer::ok : pb::job_answer::not_found);
     for (int number = 0; number < partitions; ++number) {
         call.set_partition(number);
-        this->call(call, [all, done](const pb::job_answer& answer) {
+        this->call(call, [all, done, add](const pb::job_answer& answer) {
             {
                 const std::lock_guard lock{all->mutex};
-                add_answer(all->sum, answer);
+                add(all->sum, answer);
                 if (--all->missing > 0)
                     return;
             }
--- a/src/cell/cap_sync.cpp
+++ b/src/cell/cap_sync.cpp
@@ -56,7 +56,7 @@
         teams.insert(team);
     // The only partition that keeps a team's jobs has all of its limit, until another one needs some.
     for (const auto& [team, homes] : layout.teams) {
-        const auto usual = usual_cap_share(layout, team, member.number);
+        const auto usual = usual_share(layout, team, member.number);
         state.shares.try_emplace(team, usual);
         const auto want = member.wants.find(team);
         const bool lacks =
@@ -66,7 +66,14 @@
     }
     for (const auto& team : teams)
         divide(layout, member, state, team);
-    member.set_shares(state.shares);
+    tell(layout, member, state);
+}
+
+void cap_sync::tell(const cell_layout& layout, const cap_member& member, const member_state& state) {
+    std::map<std::string, team_part> parts;
+    for (const auto& [team, share] : state.shares)
+        parts[team] = {share, usual_share(layout, team, member.number)};
+    member.set_parts(std::move(parts));
 }
 
 void cap_sync::divide(const cell_layout& layout, const cap_member& member, member_state& state,
@@ -74,7 +81,7 @@
     auto& row = m_teams[team];
     for (int i = 0; i < layout.partitions; ++i) {
         if (!row.division.parts().contains(i))
-            (*row.division.mutable_parts())[i].set_share(usual_cap_share(layout, team, i));
+            (*row.division.mutable_parts())[i].set_share(usual_share(layout, team, i));
     }
     const auto want = member.wants.find(team);
     const auto none = cap_want{};
@@ -92,7 +99,7 @@
     const auto next = divided.value_or(row.division);
     const auto known = state.shares.contains(team) ? state.shares.at(team) : share_in(row.division);
     state.shares[team] = std::min({known, share_in(row.division), share_in(next)});
-    member.set_shares(state.shares);
+    tell(layout, member, state);
     const auto condition = row.version == 0 ? write_condition::absent : write_condition::version;
     const auto result =
         m_rows.transact({{cap_prefix + team, next.SerializeAsString(), condition, row.version, false}});
--- a/src/cell/cap_sync.h
+++ b/src/cell/cap_sync.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cell/cell_layout.h"
-#include "jobs/cap_division.h"
+#include "jobs/engine.h"
 
 #include "medlarhub/platform.h"
 
@@ -18,8 +18,8 @@
 struct cap_member {
     int number = 0;
     std::uint64_t epoch = 0;
-    std::map<std::string, cap_want> wants;                         ///< by team
-    std::function<void(std::map<std::string, double>)> set_shares; ///< by team
+    std::map<std::string, cap_want> wants;                           ///< by team
+    std::function<void(std::map<std::string, team_part>)> set_parts; ///< by team
 };
 
 /// Divides teams' upper limits over partitions through rows of the table, one a team, which appear when a
@@ -47,6 +47,7 @@
 
     [[nodiscard]] bool read_rows();
     void serve(const cell_layout& layout, const cap_member& member);
+    static void tell(const cell_layout& layout, const cap_member& member, const member_state& state);
     void divide(const cell_layout& layout, const cap_member& member, member_state& state,
                 const std::string& team);
 
--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -146,7 +146,7 @@
     return homes->second[hash % homes->second.size()];
 }
 
-double usual_cap_share(const cell_layout& layout, const std::string& team, int partition) {
+double usual_share(const cell_layout& layout, const std::string& team, int partition) {
     const auto homes = layout.teams.find(team);
     if (homes == layout.teams.end() || std::ranges::find(homes->second, partition) == homes->second.end())
         return 0;
--- a/src/cell/cell_layout.h
+++ b/src/cell/cell_layout.h
@@ -54,8 +54,8 @@
 std::optional<int> home_partition_of(const cell_layout& layout, const std::string& team,
                                      std::string_view job);
 
-/// A partition's part of a team's upper limit while nobody asked for more.
-double usual_cap_share(const cell_layout& layout, const std::string& team, int partition);
+/// A partition's part of a team: of what it sends, and of its upper limit while nobody asked for more.
+double usual_share(const cell_layout& layout, const std::string& team, int partition);
 
 /// What all these targets have together.
 resources capacity_of(const std::vector<target_entry>& targets);
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -937,8 +937,8 @@
             for (const auto& [number, owned] : partitions()) {
                 if (owned->status() == partition_status::active)
                     members.push_back({number, owned->epoch(), owned->cap_wants(),
-                                       [owned = owned](std::map<std::string, double> shares) {
-                                           owned->set_cap_shares(std::move(shares));
+                                       [owned = owned](std::map<std::string, team_part> parts) {
+                                           owned->set_team_parts(std::move(parts));
                                        }});
             }
             sync.round(layout, members);
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -159,10 +159,10 @@
                                                                 : std::map<std::string, cap_want>{};
     }
 
-    void set_cap_shares(std::map<std::string, double> shares) {
+    void set_team_parts(std::map<std::string, team_part> parts) {
         locked([&](instant) {
             if (m_engine)
-                m_engine->set_cap_shares(std::move(shares));
+                m_engine->set_team_parts(std::move(parts));
         });
     }
 
@@ -644,8 +644,8 @@
 std::map<std::string, cap_want> owned_partition::cap_wants() const {
     return m_impl->cap_wants();
 }
-void owned_partition::set_cap_shares(std::map<std::string, double> shares) {
-    m_impl->set_cap_shares(std::move(shares));
+void owned_partition::set_team_parts(std::map<std::string, team_part> parts) {
+    m_impl->set_team_parts(std::move(parts));
 }
 bool owned_partition::troubled() const {
     return m_impl->troubled();
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -64,7 +64,7 @@
 
     /// See `job_engine`; empty while the partition isn't active.
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
-    void set_cap_shares(std::map<std::string, double> shares);
+    void set_team_parts(std::map<std::string, team_part> parts);
 
     /// Closes it: another node owns the partition by now.
     void depose(std::string_view reason);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -96,7 +96,8 @@
     job.spec = std::move(spec);
     const auto team = m_config->teams.find(job.team);
     if (team != m_config->teams.end())
-        job.beyond_rate = !m_rates[job.team].take(at, team->second.jobs_per_second / m_options.partitions);
+        job.beyond_rate =
+            !m_rates[job.team].take(at, team->second.jobs_per_second * part_of_team(job.team).rate);
     m_open.insert(id);
     if (job.spec.times() > 0) {
         m_timed.insert(id);
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -120,6 +120,14 @@
     std::string detail;
 };
 
+/// What a partition has of a team that may have jobs in several.
+struct team_part {
+    double cap = 0;  ///< of its upper limit
+    double rate = 0; ///< of the jobs a second that are its share
+
+    friend bool operator==(const team_part&, const team_part&) = default;
+};
+
 /// The jobs of one partition as its owner sees them: accepts, places, follows and ends them. It does no input
 /// or output: what is to be sent, asked or written is fetched from it, and what came back is told to it. Not
 /// safe for concurrent use.
@@ -178,9 +186,9 @@
     // Upper limits of teams.
     /// What the partition does under the limits of teams that have any work here.
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
-    /// The partition's part of limits, by team. With several partitions nothing of a limited team starts
-    /// before its part was told.
-    void set_cap_shares(std::map<std::string, double> shares);
+    /// The partition's part of each team. With several partitions nothing of a limited team starts before its
+    /// part was told.
+    void set_team_parts(std::map<std::string, team_part> parts);
 
     void tick(instant at);
     /// True once a target refused this owner's epoch.
@@ -321,6 +329,7 @@
     /// Whether an unwanted run of the task is still on its way out somewhere.
     [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
+    [[nodiscard]] team_part part_of_team(const std::string& team) const;
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
     /// Whether the team's limit keeps the step back, by itself or because it does so with one whose turn was
     /// before: the limit is used in order of turn, so that wide work finds room under it.
@@ -340,8 +349,8 @@
     instant m_doubt_ends{};
     bool m_doubt = false;
     instant m_next_gang_check{};
-    std::map<std::string, resources> m_held;    ///< by team
-    std::map<std::string, double> m_cap_shares; ///< by team
+    std::map<std::string, resources> m_held;       ///< by team
+    std::map<std::string, team_part> m_team_parts; ///< by team
     struct held_back {
         resources next; ///< what the first work in the order of turns needs at once
         resources more;
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -32,12 +32,18 @@
     return {need.cpu_milli * count, need.memory_mb * count, need.accelerators * count};
 }
 
+team_part job_engine::part_of_team(const std::string& team) const {
+    const auto own = m_team_parts.find(team);
+    if (own != m_team_parts.end())
+        return own->second;
+    return m_options.partitions > 1 ? team_part{0, 1.0 / m_options.partitions} : team_part{1, 1};
+}
+
 bool job_engine::within_cap(const std::string& team, const resources& need) const {
     const auto policy = m_config->teams.find(team);
     if (policy == m_config->teams.end() || !is_limit(policy->second.cap))
         return true;
-    const auto own = m_cap_shares.find(team);
-    const auto share = own != m_cap_shares.end() ? own->second : m_options.partitions > 1 ? 0.0 : 1.0;
+    const auto share = part_of_team(team).cap;
     const auto& cap = policy->second.cap;
     const auto found = m_held.find(team);
     const auto held = found == m_held.end() ? resources{} : found->second;
@@ -96,9 +102,9 @@
     return wants;
 }
 
-void job_engine::set_cap_shares(std::map<std::string, double> shares) {
-    m_changed = m_changed || shares != m_cap_shares;
-    m_cap_shares = std::move(shares);
+void job_engine::set_team_parts(std::map<std::string, team_part> parts) {
+    m_changed = m_changed || parts != m_team_parts;
+    m_team_parts = std::move(parts);
 }
 
 } // namespace medlarhub
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -14,7 +14,7 @@
 /// Targets that one question to the advice service names at most.
 constexpr std::size_t asked_at_a_time = 30;
 /// Gangs that may hold targets back for themselves at a time.
-constexpr int reserving_gangs = 2;
+constexpr int reserving_gangs = 1;
 /// A pass ends after this many steps that found no room; when more steps than that wait, passes keep apart.
 constexpr int fruitless_most = 40;
 constexpr milliseconds crowded_pass_spacing{20};
@@ -271,7 +271,8 @@
 }
 
 void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
-    if (m_reserving >= reserving_gangs)
+    // An end that is worth nothing more, or is beyond the team's share, waits for room that is left.
+    if (m_reserving >= reserving_gangs || at > ready.turn->hopeless || ready.turn->beyond_rate)
         return;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
@@ -336,9 +337,10 @@
     const auto queued = std::ranges::count_if(
         step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
     const auto& spec = ready.job->spec.steps(ready.step);
-    // Room that earlier steps are about to use is not asked for twice.
+    // Room that earlier steps are about to use is not asked for twice. A gang uses none before it finds all.
     const bool room_left = m_unasked_cpu_milli > 0;
-    m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
+    if (!spec.gang())
+        m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
     if (!room_left)
         return;
     if (!step.advice.due(at)) {
@@ -362,6 +364,8 @@
     useful.insert(useful.end(), unknown.begin(), unknown.end());
     if (spec.gang() && !place_gang(at, ready, useful, true))
         return;
+    if (spec.gang())
+        m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
     advice_question question;
     question.step = task_name{ready.job->spec.id(), ready.occurrence, ready.step, 0}.step_string();
     for (const auto* target : useful) {
--- /dev/null
+++ b/test/call_router_test.cpp
@@ -0,0 +1,80 @@
+#include "cell/call_router.h"
+
+#include <catch2/catch.hpp>
+
+using namespace medlarhub;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Every partition is owned elsewhere, each by a node named after it.
+class owned_elsewhere final : public owner_lookup {
+public:
+    std::shared_ptr<owned_partition> local_partition(int /*number*/) const override { return {}; }
+    std::string remote_owner(int number) const override { return std::to_string(number); }
+};
+
+pb::job_answer answer(pb::job_answer::outcome result, pb::job_answer::job_state state, std::int64_t pending) {
+    pb::job_answer made;
+    made.set_result(result);
+    made.set_state(state);
+    made.set_pending(pending);
+    return made;
+}
+
+const auto missing = answer(pb::job_answer::not_found, pb::job_answer::none, 0);
+const auto unknown = answer(pb::job_answer::unknown, pb::job_answer::none, 0);
+
+pb::job_answer ask_all(pb::job_call::kind what, const std::vector<pb::job_answer>& answers) {
+    const owned_elsewhere owners;
+    metrics counters;
+    const auto router = std::make_shared<call_router>(
+        owners,
+        [&](const std::string& address, const pb::job_calls& calls, milliseconds /*timeout*/,
+            peer_callback<pb::job_answers> done) {
+            pb::job_answers reply;
+            for (int i = 0; i < calls.calls_size(); ++i)
+                *reply.add_answers() = answers.at(static_cast<std::size_t>(std::stoi(address)));
+            done(peer_delivery::answered, reply);
+        },
+        counters);
+    pb::job_call call;
+    call.set_what(what);
+    call.set_timeout_ms(1000);
+    std::optional<pb::job_answer> got;
+    router->call_all(call, static_cast<int>(answers.size()), [&](const pb::job_answer& each) {
+        CHECK(!got); // answers once
+        got = each;
+    });
+    REQUIRE(got);
+    return *got;
+}
+
+} // namespace
+
+TEST_CASE("what is pending is summed over all partitions, or not told", "[routing]") {
+    const auto some = answer(pb::job_answer::ok, pb::job_answer::none, 4);
+    const auto more = answer(pb::job_answer::ok, pb::job_answer::none, 7);
+    const auto sum = ask_all(pb::job_call::count_pending, {some, more, some});
+    CHECK(sum.result() == pb::job_answer::ok);
+    CHECK(sum.pending() == 15);
+    CHECK(ask_all(pb::job_call::count_pending, {some, unknown, more}).result() == pb::job_answer::unknown);
+}
+
+TEST_CASE("a job is found wherever it is, and missing only if all say so", "[routing]") {
+    const auto found = answer(pb::job_answer::ok, pb::job_answer::running, 0);
+    struct row {
+        const char* name;
+        std::vector<pb::job_answer> answers;
+        pb::job_answer::outcome result;
+    };
+    const auto given =
+        GENERATE_COPY(row{"nowhere", {missing, missing, missing}, pb::job_answer::not_found},
+                      row{"first", {found, missing, missing}, pb::job_answer::ok},
+                      row{"last", {missing, missing, found}, pb::job_answer::ok},
+                      row{"found beside silence", {unknown, found, missing}, pb::job_answer::ok},
+                      row{"found before silence", {found, unknown, missing}, pb::job_answer::ok},
+                      row{"silence", {missing, unknown, missing}, pb::job_answer::unknown});
+    INFO(given.name);
+    CHECK(ask_all(pb::job_call::state, given.answers).result() == given.result);
+}
