--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -57,7 +57,9 @@
 /// An owner that is said to be dead has its partition taken only if its head row stood still this long.
 constexpr milliseconds head_still{350};
 /// A node whose table doesn't answer asks others this often to take its partitions.
-constexpr milliseconds heir_retry{500};
+constexpr milliseconds heir_retry{300};
+/// One that was asked isn't asked again for this long.
+constexpr milliseconds heir_pause{3000};
 constexpr milliseconds advice_slack{1500};
 constexpr milliseconds release_wait{1500};
 constexpr milliseconds take_timeout{500};
@@ -76,10 +78,6 @@
     std::uint64_t epoch = 0;
 };
 
-std::string node_of(const std::string& owner) {
-    return owner.substr(0, owner.rfind('/'));
-}
-
 } // namespace
 
 class cell_node::impl final : public cell_handler,
@@ -868,11 +866,17 @@
             std::string address;
             {
                 const std::lock_guard lock{m_mutex};
-                const auto live = candidates(at);
+                auto live = candidates(at);
+                // One that was asked and didn't take it is turned away as well.
+                std::erase_if(live, [&](const candidate_owner& each) {
+                    const auto asked = m_asked_heirs.find({number, each.node});
+                    return asked != m_asked_heirs.end() && at - asked->second < heir_pause;
+                });
                 heir = successor_of(number, live, m_options.node);
                 const auto found = std::ranges::find(live, heir, &candidate_owner::node);
                 if (found == live.end() || !found->hears_table || heir == m_options.node)
                     continue;
+                m_asked_heirs[{number, heir}] = at;
                 address = m_members.find(heir)->peer_address();
             }
             if (heir.empty())
@@ -1000,6 +1004,7 @@
 
     // Used by the ownership thread only.
     instant m_next_heir{};
+    std::map<std::pair<int, std::string>, instant> m_asked_heirs; ///< by partition and node
     instant m_next_layout{};
     bool m_heads_read = false;
     instant m_heads_read_at{};
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -32,6 +32,8 @@
 /// A write without an answer for this long counts as failing.
 constexpr milliseconds slow_write{700};
 constexpr milliseconds stall_tolerated{700};
+/// Orders of an owner that ended may still reach targets for this long.
+constexpr milliseconds orders_on_the_way{500};
 constexpr milliseconds stop_timeout{500};
 constexpr milliseconds poll_grace{1000};
 constexpr milliseconds answer_margin{30};
@@ -461,7 +463,9 @@
         options.lease = m_options.lease;
         options.partitions = m_options.partitions;
         const auto lapse = static_cast<double>(m_options.lease.count()) * lease_drift;
-        options.unknown_runs = confirm_bound + milliseconds{static_cast<std::int64_t>(lapse)};
+        // An earlier owner may command targets until it notices that it isn't the owner any more.
+        options.unknown_runs = (m_rows.sole_owner() ? orders_on_the_way : confirm_bound) +
+                               milliseconds{static_cast<std::int64_t>(lapse)};
         locked([&](instant at) {
             m_engine = std::make_unique<job_engine>(options);
             if (m_declared.config)
--- a/src/cell/partition_rows.cpp
+++ b/src/cell/partition_rows.cpp
@@ -24,6 +24,10 @@
 
 } // namespace
 
+std::string node_of(const std::string& owner) {
+    return owner.substr(0, owner.rfind('/'));
+}
+
 partition_rows::partition_rows(table& rows, int partition, std::string owner, std::string peer_address)
     : m_rows{rows}, m_prefix{"p" + std::to_string(partition) + "/"}, m_owner{std::move(owner)},
       m_peer_address{std::move(peer_address)} {}
@@ -60,6 +64,8 @@
     if (!read_head(m_head, m_version))
         return {};
     auto next = m_head;
+    m_sole_owner =
+        m_head.owner().empty() || (m_head.owner() != m_owner && node_of(m_head.owner()) == node_of(m_owner));
     next.set_owner(m_owner);
     next.set_peer_address(m_peer_address);
     next.set_epoch(m_head.epoch() + 1);
--- a/src/cell/partition_rows.h
+++ b/src/cell/partition_rows.h
@@ -11,6 +11,9 @@
 
 namespace medlarhub {
 
+/// The node of an owner's name, which is `node/incarnation`.
+std::string node_of(const std::string& owner);
+
 enum class row_outcome {
     written,
     deposed,    ///< another node owns the partition now
@@ -43,6 +46,9 @@
     [[nodiscard]] row_outcome release();
 
     [[nodiscard]] std::uint64_t epoch() const { return m_head.epoch(); }
+    /// Whether, at the last `take`, it was certain that no owner before commands targets any more: the last
+    /// one gave the partition up, or was this node in a life before.
+    [[nodiscard]] bool sole_owner() const { return m_sole_owner; }
 
 private:
     [[nodiscard]] std::string key(const char* kind, const std::string& name) const;
@@ -56,6 +62,7 @@
     std::string m_peer_address;
     pb::partition_head m_head;
     std::int64_t m_version = 0; ///< of the head row; 0 when there is none
+    bool m_sole_owner = false;
 };
 
 } // namespace medlarhub
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -1,4 +1,5 @@
 #include "cell/owned_partition.h"
+#include "cell/partition_rows.h"
 
 #include "standin/memory_platform.h"
 
@@ -140,3 +141,30 @@
     REQUIRE(recorded->size() == 2);
     CHECK((*recorded)[1].key == "p0/spec/in_write");
 }
+
+TEST_CASE("a new owner knows when nobody before it can command targets any more", "[ownership][recovery]") {
+    struct row {
+        const char* name;
+        const char* before; // empty: nobody owned it
+        bool released;
+        const char* owner;
+        bool sole;
+    };
+    const auto given = GENERATE(row{"nobody owned it", "", false, "n1/10", true},
+                                row{"the last owner gave it up", "n2/10", true, "n1/10", true},
+                                row{"this node in its life before", "n1/7", false, "n1/10", true},
+                                row{"another node", "n2/10", false, "n1/10", false},
+                                row{"a node whose name begins alike", "n11/10", false, "n1/10", false},
+                                row{"this very life", "n1/10", false, "n1/10", false});
+    INFO(given.name);
+    standin::memory_table rows;
+    if (*given.before != '\0') {
+        partition_rows before{rows, 0, given.before, "a"};
+        REQUIRE(before.take());
+        if (given.released)
+            REQUIRE(before.release() == row_outcome::written);
+    }
+    partition_rows next{rows, 0, given.owner, "b"};
+    REQUIRE(next.take());
+    CHECK(next.sole_owner() == given.sole);
+}
