Ask as many targets as a gang may need, and learn which ones it is to wait for

Change: a gang asks about as many targets as it may be expected to need, by the share that turned out good so far, up to 100 at a time. Without room it asks until it knows good targets that would hold it, and then waits for those. The new test failed before on an idle and a busy fleet.

--- a/src/jobs/advice_book.cpp
+++ b/src/jobs/advice_book.cpp
@@ -9,6 +9,8 @@
 /// A ticket isn't used this long before it expires, for the way of the start.
 constexpr milliseconds ticket_margin{150};
 constexpr milliseconds retry_after_failure{100};
+/// Of how many targets a share is remembered.
+constexpr double most_counted = 1000;
 
 } // namespace
 
@@ -24,6 +26,15 @@
         m_tickets, [&](const auto& each) { return each.second.valid_until >= at + ticket_margin; });
 }
 
+void good_share::add(std::ptrdiff_t asked, std::ptrdiff_t good) {
+    m_asked += static_cast<double>(asked);
+    m_good += static_cast<double>(good);
+    if (m_asked <= most_counted)
+        return;
+    m_good *= most_counted / m_asked;
+    m_asked = most_counted;
+}
+
 void step_advice::ask() {
     m_asked = true;
 }
--- a/src/jobs/advice_book.h
+++ b/src/jobs/advice_book.h
@@ -2,6 +2,7 @@
 
 #include "jobs/cell_config.h"
 
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
@@ -17,6 +18,17 @@
     milliseconds cost{0}; ///< how long the service works on it
 };
 
+/// Which part of the targets asked about turns out good, as seen so far.
+class good_share {
+public:
+    void add(std::ptrdiff_t asked, std::ptrdiff_t good);
+    [[nodiscard]] double value() const { return m_good / m_asked; }
+
+private:
+    double m_asked = 8; ///< a half, before anything was seen
+    double m_good = 4;
+};
+
 struct advice_ticket {
     std::string target;
     std::string text;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -324,6 +324,12 @@
     void place(instant at, const ready_step& ready, int index, target_state& target, int number,
                const std::string& saved);
     void ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates);
+    /// Targets that are good for the step, and those of which it isn't known that have most room.
+    static std::vector<target_state*> worth_asking(const step_state& step,
+                                                   const std::vector<target_state*>& candidates);
+    /// As many targets as a gang may be expected to need; none while it knows what it waits for.
+    std::vector<target_state*> worth_asking_for_gang(const ready_step& ready,
+                                                     const std::vector<target_state*>& candidates);
     [[nodiscard]] std::int64_t free_cpu_milli(instant at) const;
     [[nodiscard]] std::vector<target_state*> candidates(instant at, const ready_step& ready);
     /// Whether an unwanted run of the task is still on its way out somewhere.
@@ -361,6 +367,7 @@
 
     std::vector<advice_question> m_questions;
     advice_lanes m_lanes;
+    std::map<std::string, good_share> m_good_share; ///< by queue
     std::map<int, double> m_backlog; ///< core-milliseconds that wait and can still be in time, by priority
     std::int64_t m_unasked_cpu_milli = 0; ///< room that no step before in the pass counts on
     std::map<std::string, task_name> m_asked_steps;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -11,8 +11,10 @@
 
 /// Run numbers of one epoch; the numbers of the next epoch lie above all of them.
 constexpr int runs_per_epoch = 1000;
-/// Targets that one question to the advice service names at most.
+/// Targets that one question to the advice service usually names at most ...
 constexpr std::size_t asked_at_a_time = 30;
+/// ... and for a gang that needs more.
+constexpr std::size_t most_asked_at_a_time = 100;
 /// Gangs that may hold targets back for themselves at a time.
 constexpr int reserving_gangs = 1;
 /// A pass ends after this many steps that found no room; when more steps than that wait, passes keep apart.
@@ -337,39 +339,26 @@
     const auto queued = std::ranges::count_if(
         step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
     const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need_of_all = queued * need_of(spec).cpu_milli;
     // Room that earlier steps are about to use is not asked for twice. A gang uses none before it finds all.
     const bool room_left = m_unasked_cpu_milli > 0;
     if (!spec.gang())
-        m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
+        m_unasked_cpu_milli -= need_of_all;
     if (!room_left)
         return;
     if (!step.advice.due(at)) {
         m_changed = m_changed || !step.advice.asked();
         return;
     }
+    auto useful = spec.gang() ? worth_asking_for_gang(ready, candidates) : worth_asking(step, candidates);
+    if (spec.gang() && !useful.empty())
+        m_unasked_cpu_milli -= need_of_all;
     const auto& policy = *m_config->queues.at(ready.job->queue).advice;
-    std::vector<target_state*> useful;
-    std::vector<target_state*> unknown;
-    for (auto* target : candidates) {
-        const auto& id = target->entry.id;
-        if (step.advice.good(id))
-            useful.push_back(target);
-        else if (!step.advice.known(id))
-            unknown.push_back(target);
-    }
-    std::ranges::stable_sort(unknown, std::ranges::greater{},
-                             [](const target_state* target) { return target->free().cpu_milli; });
-    if (unknown.size() > asked_at_a_time)
-        unknown.resize(asked_at_a_time);
-    useful.insert(useful.end(), unknown.begin(), unknown.end());
-    if (spec.gang() && !place_gang(at, ready, useful, true))
-        return;
-    if (spec.gang())
-        m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
     advice_question question;
     question.step = task_name{ready.job->spec.id(), ready.occurrence, ready.step, 0}.step_string();
     for (const auto* target : useful) {
-        if (step.advice.ticket(at, target->entry.id) == nullptr)
+        if (step.advice.ticket(at, target->entry.id) == nullptr &&
+            question.targets.size() < most_asked_at_a_time)
             question.targets.push_back(target->entry.id);
     }
     if (question.targets.empty())
@@ -385,6 +374,72 @@
     m_questions.push_back(std::move(question));
 }
 
+std::vector<target_state*> job_engine::worth_asking(const step_state& step,
+                                                    const std::vector<target_state*>& candidates) {
+    std::vector<target_state*> useful;
+    std::vector<target_state*> unknown;
+    for (auto* target : candidates) {
+        const auto& id = target->entry.id;
+        if (step.advice.good(id))
+            useful.push_back(target);
+        else if (!step.advice.known(id))
+            unknown.push_back(target);
+    }
+    std::ranges::stable_sort(unknown, std::ranges::greater{},
+                             [](const target_state* target) { return target->free().cpu_milli; });
+    if (unknown.size() > asked_at_a_time)
+        unknown.resize(asked_at_a_time);
+    useful.insert(useful.end(), unknown.begin(), unknown.end());
+    return useful;
+}
+
+std::vector<target_state*> job_engine::worth_asking_for_gang(const ready_step& ready,
+                                                             const std::vector<target_state*>& candidates) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need = need_of(spec);
+    const auto& step =
+        ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    const auto wanted = static_cast<double>(spec.count());
+    const auto members_in = [&](const resources& room) {
+        const auto fits = fits_in(need, room);
+        return static_cast<double>(
+            spec.max_per_target() > 0 ? std::min<std::int64_t>(fits, spec.max_per_target()) : fits);
+    };
+    // What is known to be good holds so many members if it were empty.
+    double good_capacity = 0;
+    for (const auto& [id, target] : m_targets) {
+        if (step.advice.good(id))
+            good_capacity += members_in(target.entry.capacity);
+    }
+    std::vector<target_state*> useful;
+    std::vector<target_state*> unknown;
+    double expected = 0;
+    for (auto* target : candidates) {
+        const auto& id = target->entry.id;
+        if (step.advice.good(id)) {
+            useful.push_back(target);
+            expected += members_in(target->free());
+        } else if (!step.advice.known(id)) {
+            unknown.push_back(target);
+        }
+    }
+    std::ranges::stable_sort(unknown, std::ranges::greater{},
+                             [](const target_state* target) { return target->free().cpu_milli; });
+    const auto good_share = m_good_share[ready.job->queue].value();
+    std::size_t asked = 0;
+    for (auto* target : unknown) {
+        if (asked >= most_asked_at_a_time || (asked >= asked_at_a_time && expected >= wanted))
+            break;
+        expected += good_share * members_in(target->free());
+        useful.push_back(target);
+        ++asked;
+    }
+    // While it has no room anyway it asks only to learn for which targets it is to wait.
+    if (expected < wanted && (good_capacity >= wanted || asked == 0))
+        return {};
+    return useful;
+}
+
 std::vector<advice_question> job_engine::take_questions() {
     return std::exchange(m_questions, {});
 }
@@ -394,10 +449,16 @@
     const auto asked = m_asked_steps.find(question.step);
     if (asked == m_asked_steps.end())
         return;
-    auto* step = find_step(asked->second, nullptr);
+    job_state* job = nullptr;
+    auto* step = find_step(asked->second, &job);
     m_asked_steps.erase(asked);
     if (step == nullptr)
         return;
+    const auto fresh = std::ranges::count_if(
+        question.targets, [&](const std::string& target) { return !step->advice.known(target); });
+    const auto fresh_good = std::ranges::count_if(
+        good, [&](const advice_ticket& each) { return !step->advice.known(each.target); });
+    m_good_share[job->queue].add(fresh, fresh_good);
     step->advice.answered(at, question.targets, good, valid);
     m_changed = true;
     schedule(at);
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -707,3 +707,28 @@
     engine.tick(start + 600ms);
     CHECK(engine.take_orders(start + 600ms).size() == 6);
 }
+
+TEST_CASE("a gang that needs more targets than one usual question names is placed",
+          "[engine][advice][load]") {
+    // A third of 120 targets is good; a member fills one.
+    job_world world{{.targets = 120, .work = 1s, .good_one_in = 3}, 31};
+    world.set_config([](cell_config& config) {
+        auto& queue = config.queues.at("checks");
+        queue.latency_goal = 3s;
+        queue.advice = advice_policy{std::chrono::milliseconds{520}, std::chrono::milliseconds{7}, 2000ms};
+    });
+    std::vector<std::string> nodes;
+    for (int i = 0; i < 8; ++i)
+        nodes.push_back("n" + std::to_string(i));
+    world.owner().set_advisers(nodes);
+    auto wide = simple_step(32, 3000);
+    wide.set_gang(true);
+    const bool busy = GENERATE(false, true);
+    if (busy) // most targets are held for a while, each by a task that leaves no room for a member
+        world.submit(simple_job("early", {simple_step(90, 2000)}));
+    world.run_for(1s);
+    world.submit(simple_job("gang", {wide}));
+    world.run_for(8s);
+    CHECK(world.owner().state("gang") == pb::job_answer::completed);
+    CHECK(world.violation().empty());
+}
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -1,5 +1,7 @@
 #include "job_world.h"
 
+#include "medlarhub/hash.h"
+
 #include <algorithm>
 
 namespace medlarhub::testing {
@@ -132,6 +134,19 @@
         m_violation = what;
 }
 
+void job_world::advise(const advice_question& question) {
+    if (m_options.good_one_in == 0)
+        return m_owner->advice_failed(m_at, question);
+    std::vector<advice_ticket> good;
+    for (const auto& target : question.targets) {
+        if (stable_hash(question.step + target) % static_cast<std::uint64_t>(m_options.good_one_in) == 0)
+            good.push_back({target, "ticket"});
+    }
+    m_messages.emplace(m_at + question.cost, [this, owner = m_owner, question, good] {
+        owner->advised(m_at, question, good, 2000ms);
+    });
+}
+
 void job_world::write_rows() {
     while (m_rows_out || m_owner->write_due(m_at)) {
         if (!m_rows_out)
@@ -174,7 +189,7 @@
         poll(order);
     for (const auto& question : m_owner->take_questions()) {
         if (!m_advice_held)
-            m_owner->advice_failed(m_at, question);
+            advise(question);
     }
 }
 
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -23,6 +23,7 @@
         milliseconds work{300};
         bool faults = true;
         bool share_rates = false;
+        int good_one_in = 0; ///< so many targets are good for a step; 0: the advice service fails
     };
 
     job_world(options given, std::uint64_t seed);
@@ -71,6 +72,7 @@
 
     void step();
     void pump();
+    void advise(const advice_question& question);
     void write_rows();
     void apply(const job_rows& rows);
     void send(const target_order& order);
