Spend less processor on what every node does all the time

Change: no such pings, one probe a round in large cells, limits looked at less often while each team has one partition.

--- a/include/medlarhub/membership.h
+++ b/include/medlarhub/membership.h
@@ -44,6 +44,8 @@
     void leave();
 
     [[nodiscard]] const pb::member& self() const { return m_self; }
+    /// The number of other nodes that are remembered.
+    [[nodiscard]] std::size_t size() const { return m_members.size(); }
     [[nodiscard]] std::vector<std::string> live() const;
     [[nodiscard]] std::optional<pb::member> find(const std::string& id) const;
     [[nodiscard]] bool alive(const std::string& id) const;
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -37,7 +37,10 @@
 constexpr milliseconds ownership_period{100};
 constexpr milliseconds probe_timeout{500};
 constexpr milliseconds suspect_after{600};
-constexpr std::size_t probes_a_round = 2;
+/// Nodes that one node probes a round, in a cell of a few and in a larger one.
+constexpr std::size_t probes_in_small = 2;
+constexpr std::size_t probes_in_large = 1;
+constexpr std::size_t large_cell = 24;
 /// Before a node takes a partition that it knows nothing of, it lets the others be heard.
 constexpr milliseconds settle_after_start{700};
 /// The cell is divided when the list of targets hasn't grown for this long.
@@ -48,6 +51,8 @@
 constexpr milliseconds no_layout_retry{1000};
 /// Between looks at how teams' limits are divided.
 constexpr milliseconds cap_period{120};
+/// ... while each team has one partition, and others only ask for jobs of queues that are open to all.
+constexpr milliseconds idle_cap_period{400};
 constexpr milliseconds take_retry{200};
 constexpr milliseconds declared_wait{1000};
 constexpr milliseconds source_retry{200};
@@ -69,7 +74,7 @@
 constexpr milliseconds report_fresh{1500};
 /// So many of them without an answer, and none with one, show that the table is out for all.
 constexpr std::size_t outage_witnesses = 4;
-constexpr milliseconds candidates_kept{100};
+constexpr milliseconds candidates_kept{200};
 constexpr auto node_prefix = "/node/";
 
 struct owner_view {
@@ -525,7 +530,7 @@
             const auto at = now();
             m_members.set_without_table(!hears_table(at));
             m_members.tick(at);
-            probes = m_members.next_probes(probes_a_round);
+            probes = m_members.next_probes(m_members.size() > large_cell ? probes_in_large : probes_in_small);
         }
         for (const auto& member : probes) {
             m_peers.exchange(
@@ -666,7 +671,7 @@
         std::vector<candidate_owner> live;
         for (const auto& member : m_members.all()) {
             const bool self = member.id() == m_options.node;
-            if (!m_members.alive(member.id()))
+            if (member.state() == pb::member::dead || member.state() == pb::member::left)
                 continue;
             const bool hears = self ? hears_table(at) : !member.without_table();
             live.push_back({member.id(), hears, member.cpu_milli(), 0});
@@ -929,7 +934,8 @@
 
     void divide_caps() {
         cap_sync sync{*m_ports.rows};
-        while (pause(cap_period)) {
+        auto period = idle_cap_period;
+        while (pause(period)) {
             cell_layout layout;
             {
                 const std::lock_guard lock{m_mutex};
@@ -937,6 +943,9 @@
             }
             if (layout.partitions < 2)
                 continue; // the only partition has all of each limit
+            const bool divided =
+                std::ranges::any_of(layout.teams, [](const auto& team) { return team.second.size() > 1; });
+            period = divided ? cap_period : idle_cap_period;
             std::vector<cap_member> members;
             for (const auto& [number, owned] : partitions()) {
                 if (owned->status() == partition_status::active)
--- a/src/peers/cell_peers.cpp
+++ b/src/peers/cell_peers.cpp
@@ -77,6 +77,7 @@
     constexpr int shortest_ping_ms = 1000;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, shortest_ping_ms);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
     builder.RegisterService(&m_impl->m_service);
     m_impl->m_server = builder.BuildAndStart();
--- a/src/peers/peer_calls.h
+++ b/src/peers/peer_calls.h
@@ -69,6 +69,8 @@
             arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
             arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
             arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+            // Messages are small: windows needn't follow the link, which costs a ping a message.
+            arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
             known = Service::NewStub(
                 grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
         }
