Keep wide gangs in one larger partition of large cells

Change: from 600 targets on partition 0 has 2.5 times the targets of others and keeps the gangs above a stated width; their part of the team's limit comes by the rows that divide limits. Not measured yet.

--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -18,6 +18,15 @@
 constexpr std::size_t most_in_one = 160;
 constexpr int most_partitions = 1000;
 constexpr std::uint64_t made_up_racks = 64;
+/// From so many targets on one partition is larger than others, for gangs that no usual one has room for.
+constexpr std::size_t wide_from_targets = 600;
+constexpr double wide_weight = 2.5;
+/// A usual partition keeps gangs up to this part of its processors: advice calls some targets in ten good.
+constexpr double usual_gang_part = 0.15;
+
+double weight_of(const cell_layout& layout, std::size_t partition) {
+    return layout.wide_from_cpu_milli > 0 && partition == 0 ? wide_weight : 1;
+}
 /// A team's limit is to be at most this part of the partitions that keep its jobs.
 constexpr double most_of_partition = 0.6;
 
@@ -42,6 +51,17 @@
     return static_cast<int>((targets + targets_per_partition - 1) / targets_per_partition);
 }
 
+cell_layout layout_for(const std::vector<target_entry>& targets, int partitions) {
+    cell_layout layout;
+    layout.partitions = partitions > 0 ? partitions : partitions_for(targets.size());
+    if (targets.size() < wide_from_targets || layout.partitions < 2)
+        return layout;
+    const auto usual =
+        static_cast<double>(capacity_of(targets).cpu_milli) / (layout.partitions - 1 + wide_weight);
+    layout.wide_from_cpu_milli = static_cast<std::int64_t>(usual * usual_gang_part);
+    return layout;
+}
+
 std::string rack_of(const target_entry& target) {
     const auto rack =
         target.rack.empty() ? "~" + std::to_string(stable_hash(target.id) % made_up_racks) : target.rack;
@@ -74,7 +94,11 @@
         const auto& there = in_data_centre.try_emplace(data_centre_of(rack), count).first->second;
         std::size_t best = 0;
         for (std::size_t i = 1; i < count; ++i) {
-            if (std::tuple{there[i], in_all[i]} < std::tuple{there[best], in_all[best]})
+            const auto rank = [&](std::size_t each) {
+                const auto weight = weight_of(layout, each);
+                return std::tuple{(there[each] + 1) / weight, (in_all[each] + 1) / weight};
+            };
+            if (rank(i) < rank(best))
                 best = i;
         }
         layout.racks[rack] = static_cast<int>(best);
@@ -133,10 +157,21 @@
     return layout;
 }
 
-std::optional<int> home_partition_of(const cell_layout& layout, const std::string& team,
-                                     std::string_view job) {
+std::int64_t widest_gang_cpu_milli(const pb::job_spec& spec) {
+    std::int64_t widest = 0;
+    for (const auto& step : spec.steps()) {
+        if (step.gang())
+            widest = std::max(widest, step.count() * step.need().cpu_milli());
+    }
+    return widest;
+}
+
+std::optional<int> home_partition_of(const cell_layout& layout, const std::string& team, std::string_view job,
+                                     std::int64_t gang_cpu_milli) {
     if (layout.partitions <= 1)
         return layout.partitions == 1 ? std::optional{0} : fail("the cell is not divided yet");
+    if (layout.wide_from_cpu_milli > 0 && gang_cpu_milli >= layout.wide_from_cpu_milli)
+        return 0;
     const auto hash = stable_hash(job);
     if (team.empty())
         return static_cast<int>(hash % static_cast<std::uint64_t>(layout.partitions));
@@ -163,6 +198,7 @@
 std::string to_text(const cell_layout& layout) {
     pb::cell_layout row;
     row.set_partitions(layout.partitions);
+    row.set_wide_from_cpu_milli(layout.wide_from_cpu_milli);
     row.mutable_racks()->insert(layout.racks.begin(), layout.racks.end());
     for (const auto& [team, partitions] : layout.teams)
         (*row.mutable_teams())[team].mutable_partitions()->Assign(partitions.begin(), partitions.end());
@@ -177,6 +213,7 @@
         return fail("the layout names " + std::to_string(row.partitions()) + " partitions");
     cell_layout layout;
     layout.partitions = row.partitions();
+    layout.wide_from_cpu_milli = row.wide_from_cpu_milli();
     for (const auto& [rack, partition] : row.racks()) {
         if (partition < 0 || partition >= row.partitions())
             return fail("the layout gives " + rack + " to partition " + std::to_string(partition));
--- a/src/cell/cell_layout.h
+++ b/src/cell/cell_layout.h
@@ -21,10 +21,16 @@
     int partitions = 0;                            ///< 0: not agreed yet
     std::map<std::string, int> racks;              ///< the partition of each rack, by `rack_of`
     std::map<std::string, std::vector<int>> teams; ///< the partitions that keep a team's jobs
+    /// Gangs of this much processor are kept by partition 0, which has more targets than others; 0: there is
+    /// no such partition.
+    std::int64_t wide_from_cpu_milli = 0;
 
     friend bool operator==(const cell_layout&, const cell_layout&) = default;
 };
 
+/// A new layout for these targets, without its racks; `partitions` 0 lets their number decide.
+cell_layout layout_for(const std::vector<target_entry>& targets, int partitions);
+
 /// The number of partitions for a cell of that many targets: few, so that queues stay pooled and wide gangs
 /// find room, and as many as one owner's processor asks for.
 int partitions_for(std::size_t targets);
@@ -49,10 +55,13 @@
 std::vector<target_entry> slice_of(const cell_layout& layout, const std::vector<target_entry>& targets,
                                    int partition);
 
+/// What the widest gang of a job needs at once; 0 without gangs.
+std::int64_t widest_gang_cpu_milli(const pb::job_spec& spec);
+
 /// The partition that keeps a job; nothing while the team has none yet. Jobs without a team are spread over
 /// all.
-std::optional<int> home_partition_of(const cell_layout& layout, const std::string& team,
-                                     std::string_view job);
+std::optional<int> home_partition_of(const cell_layout& layout, const std::string& team, std::string_view job,
+                                     std::int64_t gang_cpu_milli = 0);
 
 /// A partition's part of a team: of what it sends, and of its upper limit while nobody asked for more.
 double usual_share(const cell_layout& layout, const std::string& team, int partition);
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -163,7 +163,7 @@
         {
             const std::lock_guard lock{m_mutex};
             partitions = m_layout.partitions;
-            home = home_partition_of(m_layout, call.team(), call.id());
+            home = home_partition_of(m_layout, call.team(), call.id(), widest_gang_cpu_milli(call.spec()));
         }
         const bool counts = call.what() == pb::job_call::count_pending;
         if (partitions == 0 || (!home && !counts))
@@ -173,7 +173,8 @@
         call.set_partition(*home);
         if (partitions == 1 || call.what() == pb::job_call::submit)
             return m_router->call(std::move(call), std::move(done));
-        // A job of a queue that is open to all, or was, may have come without its team.
+        // Wide gangs are kept elsewhere than their team's other jobs, and a job of a queue that is open to
+        // all, or was, may have come without its team.
         m_router->call(call, [this, call, partitions, done = std::move(done)](const pb::job_answer& answer) {
             if (answer.result() != pb::job_answer::not_found)
                 return done(answer);
@@ -378,8 +379,7 @@
         const bool divide = m_divides && next.partitions == 0 && !targets.empty() &&
                             at - grown >= targets_settled && at - m_started >= targets_settled;
         if (divide)
-            next.partitions =
-                m_options.partitions > 0 ? m_options.partitions : partitions_for(targets.size());
+            next = layout_for(targets, m_options.partitions);
         if (next.partitions > 0 && (divide || owner)) {
             next = with_racks_of(std::move(next), targets);
             next = with_teams_of(std::move(next), *config, capacity_of(targets));
@@ -944,6 +944,7 @@
             if (layout.partitions < 2)
                 continue; // the only partition has all of each limit
             const bool divided =
+                layout.wide_from_cpu_milli > 0 ||
                 std::ranges::any_of(layout.teams, [](const auto& team) { return team.second.size() > 1; });
             period = divided ? cap_period : idle_cap_period;
             std::vector<cap_member> members;
--- a/test/cap_division_test.cpp
+++ b/test/cap_division_test.cpp
@@ -81,7 +81,7 @@
 };
 
 cell_layout two_homes() {
-    return {3, {}, {{"a", {0, 1}}}};
+    return {3, {}, {{"a", {0, 1}}}, 0};
 }
 
 } // namespace
@@ -183,13 +183,13 @@
     standin::memory_table rows;
     owner only{rows, 2};
     only.want = {0.9, 0.5, 0};
-    only.round({3, {}, {{"a", {2}}}});
+    only.round({3, {}, {{"a", {2}}}, 0});
     CHECK(only.share == Approx(1));
     CHECK(rows.list("/cap/", "", 10)->empty());
     owner other{rows, 1};
     other.want = {0, 0.1, 0}; // a job of a queue that is open to all
-    other.round({3, {}, {{"a", {2}}}});
+    other.round({3, {}, {{"a", {2}}}, 0});
     CHECK(other.share == Approx(0));
-    only.round({3, {}, {{"a", {2}}}});
+    only.round({3, {}, {{"a", {2}}}, 0});
     CHECK(only.share < 1);
 }
--- a/test/cell_layout_test.cpp
+++ b/test/cell_layout_test.cpp
@@ -40,7 +40,7 @@
 }
 
 cell_layout divided(int partitions, const std::vector<target_entry>& targets) {
-    return with_racks_of({partitions, {}, {}}, targets);
+    return with_racks_of({partitions, {}, {}, 0}, targets);
 }
 
 } // namespace
@@ -148,8 +148,8 @@
     beyond.racks["dc0/r0"] = 3;
     auto team_beyond = layout;
     team_beyond.teams["a"] = {-1};
-    const auto text = GENERATE_COPY(std::string{"\xff\xff\xff"}, std::string{}, to_text({0, {}, {}}),
-                                    to_text({5000, {}, {}}), to_text(beyond), to_text(team_beyond));
+    const auto text = GENERATE_COPY(std::string{"\xff\xff\xff"}, std::string{}, to_text({0, {}, {}, 0}),
+                                    to_text({5000, {}, {}, 0}), to_text(beyond), to_text(team_beyond));
     CHECK(!parse_layout(text));
 }
 
@@ -167,3 +167,42 @@
     CHECK(second.replace(with_racks_of(second.layout(), fleet(44, 3))));
     CHECK(second.version() > first.version());
 }
+
+TEST_CASE("a large cell has one partition for gangs that no other has room for", "[layout]") {
+    struct row {
+        const char* name;
+        int racks;
+        bool wide;
+    };
+    const auto given =
+        GENERATE(row{"one partition", 6, false}, row{"some", 44, false}, row{"many", 138, true});
+    INFO(given.name);
+    const auto targets = fleet(given.racks, 5);
+    auto layout = layout_for(targets, 0);
+    CHECK((layout.wide_from_cpu_milli > 0) == given.wide);
+    if (!given.wide)
+        return;
+    layout = with_teams_of(with_racks_of(layout, targets), teams({{"a", 9}, {"b", 3}}, 1'000'000),
+                           capacity_of(targets));
+    CHECK(parse_layout(to_text(layout)) == layout);
+    const auto wide = slice_of(layout, targets, 0).size();
+    const auto usual = slice_of(layout, targets, 1).size();
+    CHECK(wide > 2 * usual);
+    const auto limit = layout.wide_from_cpu_milli;
+    for (const auto* team : {"a", "b"}) {
+        CHECK(home_partition_of(layout, team, "17", limit) == 0);
+        CHECK(home_partition_of(layout, team, "17", limit - 1) == home_partition_of(layout, team, "17"));
+    }
+}
+
+TEST_CASE("only gangs count as wide", "[layout]") {
+    pb::job_spec spec;
+    for (const bool gang : {false, true, true}) {
+        auto& step = *spec.add_steps();
+        step.set_gang(gang);
+        step.set_count(gang ? 10 + spec.steps_size() : 1000);
+        step.mutable_need()->set_cpu_milli(2000);
+    }
+    CHECK(widest_gang_cpu_milli(spec) == 26'000);
+    CHECK(widest_gang_cpu_milli({}) == 0);
+}
