--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -273,8 +273,7 @@
 }
 
 void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
-    // An end that is worth nothing more, or is beyond the team's share, waits for room that is left.
-    if (m_reserving >= reserving_gangs || at > ready.turn->hopeless || ready.turn->beyond_rate)
+    if (m_reserving >= reserving_gangs)
         return;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
