--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -347,11 +347,11 @@
     auto wide = simple_step(6, 3000); // four fit at once
     wide.set_gang(true);
     world.submit(simple_job("g", {wide}));
-    world.run_for(600ms);
+    world.run_for(100ms);
     world.submit(simple_job("early", {simple_step(1, 500)}));
-    world.run_for(200ms);
+    world.run_for(150ms);
     CHECK(starts_of(world, "early") == 0);
-    world.run_for(500ms); // three times its allowance of 300 ms has passed
+    world.run_for(1000ms); // three times its allowance of 300 ms has passed
     world.submit(simple_job("small", {simple_step(1, 500)}));
     world.run_for(100ms);
     CHECK(starts_of(world, "small") == 1);
