--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -873,7 +873,7 @@
                 const std::lock_guard lock{m_mutex};
                 auto live = candidates(at);
                 // One that was asked and didn't take it is turned away as well.
-                std::erase_if(live, [&](const candidate_owner& each) {
+                std::erase_if(live, [&, number = number](const candidate_owner& each) {
                     const auto asked = m_asked_heirs.find({number, each.node});
                     return asked != m_asked_heirs.end() && at - asked->second < heir_pause;
                 });
--- a/test/cap_division_test.cpp
+++ b/test/cap_division_test.cpp
@@ -139,9 +139,9 @@
 TEST_CASE("owners never use more of a limit than there is, whatever becomes of their writes", "[caps]") {
     flaky_table rows;
     const auto layout = two_homes();
-    std::vector<std::unique_ptr<owner>> owners;
-    for (int i = 0; i < 3; ++i)
-        owners.push_back(std::make_unique<owner>(rows, i));
+    std::vector<std::unique_ptr<owner>> owners(3);
+    for (std::size_t i = 0; i < owners.size(); ++i)
+        owners[i] = std::make_unique<owner>(rows, static_cast<int>(i));
     std::mt19937_64 random{11};
     std::uniform_real_distribution<double> part{0, 1};
     constexpr int rounds = 3000;
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -721,10 +721,7 @@
         queue.latency_goal = 3s;
         queue.advice = advice_policy{std::chrono::milliseconds{520}, std::chrono::milliseconds{7}, 2000ms};
     });
-    std::vector<std::string> nodes;
-    for (int i = 0; i < 8; ++i)
-        nodes.push_back("n" + std::to_string(i));
-    world.owner().set_advisers(nodes);
+    world.owner().set_advisers({"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7"});
     auto wide = simple_step(32, 3000);
     wide.set_gang(true);
     const bool busy = GENERATE(false, true);
--- a/test/succession_test.cpp
+++ b/test/succession_test.cpp
@@ -39,11 +39,11 @@
 
 TEST_CASE("partitions go to nodes with much processor, and one to each while there are enough",
           "[ownership]") {
-    std::vector<candidate_owner> live;
-    for (int i = 0; i < 12; ++i)
-        live.push_back({"small" + std::to_string(i), true, 120, 0});
-    for (int i = 0; i < 4; ++i)
-        live.push_back({"large" + std::to_string(i), true, 500, 0});
+    std::vector<candidate_owner> live(16);
+    for (std::size_t i = 0; i < live.size(); ++i) {
+        const bool large = i < 4;
+        live[i] = {(large ? "large" : "small") + std::to_string(i), true, large ? 500 : 120, 0};
+    }
     std::set<std::string> owners;
     for (int partition = 0; partition < 4; ++partition) {
         const auto owner = successor_of(partition, live, {});
