--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -371,7 +371,7 @@
         }
         if (!config)
             return;
-        const bool owner = !partitions().empty();
+        const bool owner = !partitions().empty() && !targets.empty();
         const bool lacks = !covers(known, *config) || (owner && !covers(known, targets));
         if ((known.partitions > 0 && !lacks) || !m_layout_keeper.refresh())
             return;
--- a/src/cell/layout_keeper.cpp
+++ b/src/cell/layout_keeper.cpp
@@ -27,8 +27,10 @@
 bool layout_keeper::replace(const cell_layout& next) {
     const auto condition = m_version == 0 ? write_condition::absent : write_condition::version;
     const auto result = m_rows.transact({{layout_key, to_text(next), condition, m_version, false}});
-    if (result.outcome != write_outcome::committed)
-        return fail("the layout was not replaced"), false;
+    if (result.outcome != write_outcome::committed) {
+        set_reason("the layout was not replaced");
+        return false;
+    }
     m_layout = next;
     m_version = result.version;
     return true;
