--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -273,8 +273,6 @@
 }
 
 void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
-    if (m_reserving >= reserving_gangs)
-        return;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
         ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
@@ -288,12 +286,19 @@
     }
     std::ranges::stable_sort(by_free, std::ranges::greater{},
                              [](const target_state* target) { return target->free().cpu_milli; });
+    // Room that there is now is kept while the question about it is out, or others would take it meanwhile.
+    std::int64_t room = 0;
+    for (const auto* target : by_free)
+        room += fits_in(need, target->free());
+    const bool keeps_room = step.advice.asked() && room >= spec.count();
+    if (!keeps_room && m_reserving >= reserving_gangs)
+        return;
+    m_reserving += by_free.empty() || keeps_room ? 0 : 1;
     std::int64_t missing = spec.count();
-    m_reserving += by_free.empty() ? 0 : 1;
     for (const auto* target : by_free) {
         if (missing <= 0)
             return;
-        missing -= fits_in(need, target->entry.capacity);
+        missing -= fits_in(need, keeps_room ? target->free() : target->entry.capacity);
         reserved.insert(target->entry.id);
     }
 }
