--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -733,3 +733,67 @@
     CHECK(world.owner().state("gang") == pb::job_answer::completed);
     CHECK(world.violation().empty());
 }
+
+TEST_CASE("a gang keeps the room that it asks about from work that comes meanwhile",
+          "[engine][advice][load]") {
+    job_engine engine{{}};
+    auto config = std::make_shared<cell_config>();
+    queue_policy queue;
+    queue.name = "checks";
+    queue.service = "orders";
+    queue.latency_goal = 10s;
+    config->queues["small"] = queue;
+    config->queues["small"].priority = 1;
+    queue.advice = advice_policy{std::chrono::milliseconds{500}, std::chrono::milliseconds{7}, 2000ms};
+    config->queues["checks"] = queue;
+    engine.set_config(config);
+    engine.set_advisers({"n0", "n1", "n2", "n3"});
+    std::vector<target_entry> entries(10);
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        entries[i] = standin::job_target{"t" + std::to_string(i), {4000, 64'000, 0}, start}.entry();
+    auto at = start;
+    engine.set_targets(at, entries);
+    for (const auto& poll : engine.take_polls(at)) {
+        poll_result result;
+        result.outcome = order_outcome::done;
+        result.clock_ms = 1;
+        engine.polled(at, at, poll, result);
+    }
+    const auto accept = [&](pb::job_spec spec) {
+        (void)engine.accept(at, std::move(spec));
+        (void)engine.take_rows(at);
+        engine.rows_written(at);
+    };
+    const auto answer = [&](const std::vector<std::string>& good, milliseconds valid) {
+        for (const auto& question : engine.take_questions()) {
+            std::vector<advice_ticket> tickets;
+            for (const auto& target : question.targets) {
+                if (question.step.starts_with("blocked") ? target == "t9"
+                                                         : std::ranges::count(good, target) > 0)
+                    tickets.push_back({target, "ticket"});
+            }
+            engine.advised(at, question, tickets, valid);
+        }
+    };
+    const auto gang = [](const char* id, int count) {
+        auto step = simple_step(count, 3000);
+        step.set_gang(true);
+        return simple_job(id, {step});
+    };
+    // The first in turn waits for targets and holds those back; the second has room and asks again.
+    accept(gang("blocked", 10));
+    accept(gang("gang", 4));
+    const std::vector<std::string> good{"t0", "t1", "t2", "t3"};
+    answer(good, 1ms); // tickets that have run out
+    at += 600ms;
+    engine.tick(at);
+    auto small = simple_job("small", {simple_step(40, 1000)});
+    small.set_queue("small");
+    accept(std::move(small));
+    engine.tick(at += 30ms);
+    (void)engine.take_orders(at);
+    answer(good, 2000ms);
+    engine.tick(at += 30ms);
+    const auto orders = engine.take_orders(at);
+    CHECK(std::ranges::count(orders, "gang", [](const auto& order) { return order.task.job; }) == 4);
+}
