--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds relay_penalty{2000};
 /// A command without a result this long after its timeout is taken as lost.
 constexpr milliseconds result_slack{1000};
-/// What a relay carries for one owner: so many targets for each so much of its processor.
+/// Of a relay's processor, what one target of an owner takes up.
 constexpr std::int64_t cpu_milli_per_target = 8;
 constexpr std::size_t least_relays = 2;
 
