Run gangs wider than their team's limit once only late work waits beside them

A gang wider than its team's limit ran only when the team ran nothing, which its other work never let happen.

Change: once late, such a gang holds back what comes after it in turn, which is late as well. A step that waits past its worth is logged once with what holds it (step_waits). The new test fails without the change.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -225,6 +225,7 @@
         std::vector<int> gang_failed_runs;
         std::string gang_saved;
         step_advice advice;
+        bool wait_noted = false; ///< that it waits past its worth, for the log
     };
 
     struct occurrence_state {
@@ -316,6 +317,8 @@
     bool waits_for_advice(instant at, const ready_step& ready);
     void count_backlog(instant at, const std::vector<ready_step>& waiting);
     enum class step_result { placed, no_room, over_cap };
+    /// Logs once why a step waits past its worth.
+    void note_wait(instant at, const ready_step& ready, step_result result);
     step_result schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
     bool place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
                     bool only_try);
@@ -339,8 +342,13 @@
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need) const;
     /// Whether the team's limit keeps the step back, by itself or because it does so with one whose turn was
     /// before: the limit is used in order of turn, so that wide work finds room under it.
-    bool waits_behind_cap(const ready_step& ready, const resources& unit);
-    void note_over_cap(const ready_step& ready, const resources& unit);
+    bool waits_behind_cap(instant at, const ready_step& ready, const resources& unit);
+    /// A limit may be lowered below what accepted work needs at once. That runs while its team runs nothing
+    /// else.
+    [[nodiscard]] bool wider_than_cap(const std::string& team, const resources& unit) const;
+    /// Counts what the team's limit held back in this pass. Work that is wider than the whole limit holds
+    /// others of its team back only once it is late, when all that can be in time has had its turn before.
+    void note_over_cap(const ready_step& ready, const resources& unit, bool is_late);
     [[nodiscard]] int next_number(int last) const;
 
     engine_options m_options;
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -58,17 +58,20 @@
            fits(cap.accelerators, held.accelerators, need.accelerators);
 }
 
-bool job_engine::waits_behind_cap(const ready_step& ready, const resources& unit) {
+bool job_engine::wider_than_cap(const std::string& team, const resources& unit) const {
+    const auto policy = m_config->teams.find(team);
+    return policy != m_config->teams.end() && part_of(policy->second.cap, unit) > 1;
+}
+
+bool job_engine::waits_behind_cap(instant at, const ready_step& ready, const resources& unit) {
     if (within_cap(ready.job->team, unit) && !m_over_cap.contains(ready.job->team))
         return false;
-    note_over_cap(ready, unit);
+    note_over_cap(ready, unit, at > ready.turn->hopeless);
     return true;
 }
 
-void job_engine::note_over_cap(const ready_step& ready, const resources& unit) {
-    // What is wider than the whole limit keeps nothing else back; it runs when the team runs nothing.
-    const auto policy = m_config->teams.find(ready.job->team);
-    if (policy == m_config->teams.end() || part_of(policy->second.cap, unit) > 1)
+void job_engine::note_over_cap(const ready_step& ready, const resources& unit, bool is_late) {
+    if (wider_than_cap(ready.job->team, unit) && !is_late)
         return;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -89,12 +89,28 @@
     for (const auto& ready : waiting) {
         if (waits_for_advice(at, ready))
             continue;
-        if (schedule_step(at, ready, reserved) == step_result::no_room && ++fruitless >= fruitless_most)
+        const auto result = schedule_step(at, ready, reserved);
+        note_wait(at, ready, result);
+        if (result == step_result::no_room && ++fruitless >= fruitless_most)
             break;
     }
     m_pass_after = waiting.size() > fruitless_most ? at + crowded_pass_spacing : at;
 }
 
+void job_engine::note_wait(instant at, const ready_step& ready, step_result result) {
+    auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    if (result == step_result::placed || at <= ready.turn->hopeless || step.wait_noted)
+        return;
+    step.wait_noted = true;
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto unit = spec.gang() ? times(need_of(spec), spec.count()) : need_of(spec);
+    const auto* cause = result == step_result::no_room          ? "no room or no advice"
+                        : wider_than_cap(ready.job->team, unit) ? "wider than its team's limit"
+                                                                : "its team's limit is used";
+    note("step_waits", ready.job->spec.id(),
+         std::to_string(ready.occurrence) + "." + std::to_string(ready.step) + ": " + cause);
+}
+
 bool job_engine::waits_for_advice(instant at, const ready_step& ready) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto queue = m_config->queues.find(ready.job->queue);
@@ -154,7 +170,7 @@
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     const auto unit = spec.gang() ? times(need, spec.count()) : need;
-    if (waits_behind_cap(ready, unit))
+    if (waits_behind_cap(at, ready, unit))
         return step_result::over_cap;
     auto all = candidates(at, ready);
     const auto queue = m_config->queues.find(ready.job->queue);
@@ -176,6 +192,8 @@
         if (advised)
             ask_advice(at, ready, all);
         reserve(at, ready, advised, reserved);
+        if (!all.empty() && wider_than_cap(ready.job->team, unit))
+            note_over_cap(ready, unit, at > ready.turn->hopeless);
         return step_result::no_room;
     }
     std::map<std::string, int> placed_on;
@@ -193,7 +211,7 @@
             continue;
         }
         if (durable && !within_cap(ready.job->team, need)) {
-            note_over_cap(ready, need);
+            note_over_cap(ready, need, at > ready.turn->hopeless);
             return step_result::over_cap;
         }
         if (!durable) {
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -670,6 +670,33 @@
     CHECK(world.owner().state("wide") == pb::job_answer::completed);
 }
 
+TEST_CASE("a gang that a lowered limit left too wide runs once only late work waits beside it",
+          "[engine][caps]") {
+    const bool advised = GENERATE(false, true);
+    job_world world{{.targets = 12, .work = 300ms, .good_one_in = 1}, 6};
+    world.set_config([&](cell_config& config) {
+        auto& queue = config.queues.at("checks");
+        queue.latency_goal = 1s;
+        if (advised)
+            queue.advice =
+                advice_policy{std::chrono::milliseconds{100}, std::chrono::milliseconds{1}, 2000ms};
+        config.teams.at("orchard").cap.cpu_milli = 3000;
+    });
+    world.owner().set_advisers({"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7"});
+    auto wide = simple_step(4, 1000);
+    wide.set_gang(true);
+    world.submit(simple_job("wide", {wide}));
+    // More than the limit lets through comes for 6 s, so that the team always runs something.
+    for (int i = 0; i < 200; ++i) {
+        world.submit(simple_job("usual" + std::to_string(i), {simple_step(1, 1000)}));
+        world.run_for(30ms);
+    }
+    world.run_for(6s); // of 14 s that the rest takes; all of it is late by now
+    CHECK(world.owner().state("wide") == pb::job_answer::completed);
+    world.run_for(20s);
+    CHECK(world.open().empty());
+}
+
 TEST_CASE("an owner of one of several partitions starts nothing beyond its part of a limit",
           "[engine][caps]") {
     engine_options options;
