Split the placing of a step by tasks and gangs

Change: place_tasks, best_target and place_gang are functions of their own; place_gang loses a parameter that nothing used.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -320,8 +320,13 @@
     /// Logs once why a step waits past its worth.
     void note_wait(instant at, const ready_step& ready, step_result result);
     step_result schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
-    bool place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
-                    bool only_try);
+    /// Places all tasks of a gang on the allowed targets, or none.
+    step_result place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
+    /// Places as many tasks of a step on the allowed targets as there is room for.
+    step_result place_tasks(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
+    target_state* best_target(const ready_step& ready, const task_state& task,
+                              const std::vector<target_state*>& allowed,
+                              const std::map<std::string, int>& placed_on);
     /// Holds targets back from later steps until a gang that has no room yet finds some.
     void reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved);
     void place(instant at, const ready_step& ready, int index, target_state& target, int number,
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -170,14 +170,13 @@
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     const auto unit = spec.gang() ? times(need, spec.count()) : need;
-    if (waits_behind_cap(at, ready, unit))
-        return step_result::over_cap;
-    auto all = candidates(at, ready);
     const auto queue = m_config->queues.find(ready.job->queue);
-    if (queue == m_config->queues.end())
+    if (queue == m_config->queues.end() || waits_behind_cap(at, ready, unit))
         return step_result::over_cap;
+    auto all = candidates(at, ready);
     std::erase_if(all, [&](const target_state* target) { return reserved.contains(target->entry.id); });
-    auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
+    const auto& step =
+        ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
     const bool advised = queue->second.advice.has_value();
     auto allowed = all;
     if (advised) {
@@ -185,21 +184,25 @@
             return step.advice.ticket(at, target->entry.id) == nullptr;
         });
     }
-    const bool durable = ready.job->durable > 0;
-    if (spec.gang()) {
-        if (durable && place_gang(at, ready, allowed, false))
-            return step_result::placed;
-        if (advised)
-            ask_advice(at, ready, all);
+    const auto result = spec.gang() ? place_gang(at, ready, allowed) : place_tasks(at, ready, allowed);
+    if (result == step_result::no_room && advised)
+        ask_advice(at, ready, all);
+    if (result == step_result::no_room && spec.gang()) {
         reserve(at, ready, advised, reserved);
         if (!all.empty() && wider_than_cap(ready.job->team, unit))
             note_over_cap(ready, unit, at > ready.turn->hopeless);
-        return step_result::no_room;
     }
+    return result;
+}
+
+job_engine::step_result job_engine::place_tasks(instant at, const ready_step& ready,
+                                                const std::vector<target_state*>& allowed) {
+    const auto need = need_of(ready.job->spec.steps(ready.step));
+    const auto& step =
+        ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
     std::map<std::string, int> placed_on;
-    bool left = false;
-    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-        for (const auto& target : step.tasks[i].on)
+    for (const auto& task : step.tasks) {
+        for (const auto& target : task.on)
             ++placed_on[target];
     }
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
@@ -210,43 +213,49 @@
             m_changed = true;
             continue;
         }
-        if (durable && !within_cap(ready.job->team, need)) {
+        if (ready.job->durable == 0)
+            return step_result::no_room;
+        if (!within_cap(ready.job->team, need)) {
             note_over_cap(ready, need, at > ready.turn->hopeless);
             return step_result::over_cap;
         }
-        if (!durable) {
-            left = true;
-            break;
-        }
-        target_state* best = nullptr;
-        std::tuple<bool, bool, std::int64_t> best_rank{};
-        for (auto* target : allowed) {
-            const auto free = target->free();
-            if (!has_room(need, free))
-                continue;
-            if (spec.max_per_target() > 0 && placed_on[target->entry.id] >= spec.max_per_target())
-                continue;
-            const bool far = !spec.preferred_rack().empty() && target->entry.rack != spec.preferred_rack();
-            const std::tuple rank{task.avoid == target->entry.id, far, free.cpu_milli - need.cpu_milli};
-            if (best == nullptr || rank < best_rank) {
-                best = target;
-                best_rank = rank;
-            }
-        }
-        if (best == nullptr) {
-            left = true;
-            break;
-        }
+        auto* best = best_target(ready, task, allowed, placed_on);
+        if (best == nullptr)
+            return step_result::no_room;
         ++placed_on[best->entry.id];
         place(at, ready, static_cast<int>(i), *best, next_number(task.last_run), task.saved);
     }
-    if (left && advised)
-        ask_advice(at, ready, all);
-    return left ? step_result::no_room : step_result::placed;
+    return step_result::placed;
+}
+
+target_state* job_engine::best_target(const ready_step& ready, const task_state& task,
+                                      const std::vector<target_state*>& allowed,
+                                      const std::map<std::string, int>& placed_on) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need = need_of(spec);
+    target_state* best = nullptr;
+    std::tuple<bool, bool, std::int64_t> best_rank{};
+    for (auto* target : allowed) {
+        const auto free = target->free();
+        if (!has_room(need, free))
+            continue;
+        const auto placed = placed_on.find(target->entry.id);
+        if (spec.max_per_target() > 0 && placed != placed_on.end() && placed->second >= spec.max_per_target())
+            continue;
+        const bool far = !spec.preferred_rack().empty() && target->entry.rack != spec.preferred_rack();
+        const std::tuple rank{task.avoid == target->entry.id, far, free.cpu_milli - need.cpu_milli};
+        if (best == nullptr || rank < best_rank) {
+            best = target;
+            best_rank = rank;
+        }
+    }
+    return best;
 }
 
-bool job_engine::place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& candidates,
-                            bool only_try) {
+job_engine::step_result job_engine::place_gang(instant at, const ready_step& ready,
+                                               const std::vector<target_state*>& allowed) {
+    if (ready.job->durable == 0)
+        return step_result::no_room;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     auto& step = ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
@@ -254,16 +263,16 @@
     for (std::size_t i = 0; i < step.tasks.size(); ++i) {
         const auto& task = step.tasks[i];
         if (!task.on.empty() || is_stray(ready, i))
-            return false; // a run of before is still on its way out
+            return step_result::no_room; // a run of before is still on its way out
         if (task.not_before > at) {
             m_changed = true;
-            return false;
+            return step_result::no_room;
         }
         last = std::max(last, task.last_run);
     }
     const auto count = static_cast<std::int64_t>(step.tasks.size());
     std::map<std::string, std::vector<target_state*>> groups;
-    for (auto* target : candidates)
+    for (auto* target : allowed)
         groups[spec.same_rack() ? target->entry.rack : std::string{}].push_back(target);
     for (auto& [rack, group] : groups) {
         // Fuller targets first: what stays free stays in large pieces.
@@ -279,15 +288,13 @@
         }
         if (static_cast<std::int64_t>(chosen.size()) < count)
             continue;
-        if (only_try)
-            return true;
         const auto number = next_number(last);
         const auto saved = step.gang_saved;
         for (std::size_t i = 0; i < step.tasks.size(); ++i)
             place(at, ready, static_cast<int>(i), *chosen[i], number, saved);
-        return true;
+        return step_result::placed;
     }
-    return false;
+    return step_result::no_room;
 }
 
 void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
