--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -68,6 +68,8 @@
         return "gives the call up, no owner was reached; " +
                std::string{field(line, "maybe_recorded") == "true" ? "it may have been recorded"
                                                                    : "it surely reached none"};
+    if (line.event == "step_waits")
+        return "a step waits past its time, " + detail;
     if (line.event == "task_placed")
         return "places a task: " + detail;
     if (line.event == "start_refused")
--- a/test/explain_test.cpp
+++ b/test/explain_test.cpp
@@ -28,6 +28,8 @@
     R"({"time":"2026-04-05T11:24:33.254Z","node":"n2","event":"answered","request":"j1","call":"submit","status":"200","reason":"","ms":"42"})";
 const std::string placed =
     R"(  47.26 n1 {"time":"2026-04-05T11:24:34.300Z","node":"n1","event":"task_placed","request":"j1","detail":"t9 j1.0.0.0 run 3001, free cpu_milli 100"})";
+const std::string late_step =
+    R"({"time":"2026-04-05T11:24:34.200Z","node":"n1","event":"step_waits","request":"j1","detail":"0.0: its team's limit is used"})";
 const std::string lost_start =
     R"({"time":"2026-04-05T11:24:34.800Z","node":"n1","event":"start_refused","request":"j1","detail":"t9 j1.0.0.0 run 3001: answer lost"})";
 const std::string ended =
@@ -46,13 +48,15 @@
 } // namespace
 
 TEST_CASE("a request is told in order of time with the causes beside it and nothing else", "[explain]") {
-    const auto told = explain_request(
-        lines_of({ended, lost_start, other_job, other_silent, silent, taken, load, placed, accepted}), "j1");
+    const auto told = explain_request(lines_of({ended, lost_start, other_job, other_silent, late_step, silent,
+                                                taken, load, placed, accepted}),
+                                      "j1");
     REQUIRE(told);
     CHECK(
         text_of(*told) ==
         "n2 answers 200 to submit after 42 ms\n"
         "n1 becomes the owner, epoch 4, with 7 open jobs\n"
+        "n1 a step waits past its time, 0.0: its team's limit is used\n"
         "n1 places a task: t9 j1.0.0.0 run 3001, free cpu_milli 100 (0.500 s before: 20 tasks waited, 5 of 9 "
         "thousandths of a core held, starts took 3 ms)\n"
         "n1 a target is silent: t9\n"
