Take what a node believes of its cell out of cell_node

Change: cell_view holds these without input or output and decides from them which partitions are due, whether a head row stood still, who the heir is, which owner is better. Its tests (parameterised tables) found one fault: an owner's name without a readable incarnation, in any gossip message, ended the process by an exception of std::stoull; such a name is now logged (owner_unreadable) and left out.

--- /dev/null
+++ b/src/cell/cell_view.cpp
@@ -0,0 +1,376 @@
+#include "cell/cell_view.h"
+
+#include "cell/partition_rows.h"
+#include "log.h"
+
+#include "medlarhub/reason.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+constexpr milliseconds suspect_after{600};
+/// Nodes that one node probes a round, in a cell of a few and in a larger one.
+constexpr std::size_t probes_in_small = 2;
+constexpr std::size_t probes_in_large = 1;
+constexpr std::size_t large_cell = 24;
+/// How long a lost probe of an owner is a reason to look whether it still writes.
+constexpr milliseconds owner_doubt{1500};
+/// An owner that is said to be dead has its partition taken only if its head row stood still this long.
+constexpr milliseconds head_still{350};
+/// A node that heard from the table this lately hears from it.
+constexpr milliseconds table_heard{2000};
+/// What other nodes said of the table counts this long.
+constexpr milliseconds report_fresh{1500};
+/// So many of them without an answer, and none with one, show that the table is out for all.
+constexpr std::size_t outage_witnesses = 4;
+constexpr milliseconds candidates_kept{200};
+/// Refuting a suspicion raises the incarnation by little, a restart by the milliseconds between.
+constexpr std::uint64_t restarted = 200;
+
+void count_owned(std::vector<candidate_owner>& live, const std::string& node) {
+    const auto found = std::ranges::find(live, node, &candidate_owner::node);
+    if (found != live.end())
+        ++found->owned;
+}
+
+} // namespace
+
+cell_view::cell_view(pb::member self, std::uint64_t seed, std::function<void(int)> owner_changed)
+    : m_node{self.id()}, m_incarnation{self.incarnation()}, m_owner_name{m_node + "/" +
+                                                                         std::to_string(m_incarnation)},
+      m_owner_changed{std::move(owner_changed)}, m_members{std::move(self),
+                                                           {.suspect_after = suspect_after},
+                                                           seed} {}
+
+// ---- The table ----
+
+void cell_view::table_answered(instant at) {
+    const std::lock_guard lock{m_mutex};
+    m_table_heard = at;
+}
+
+bool cell_view::hears_table(instant at) const {
+    const std::lock_guard lock{m_mutex};
+    return table_heard_lately(at);
+}
+
+bool cell_view::table_heard_lately(instant at) const {
+    return m_table_heard != instant{} && at - m_table_heard < table_heard;
+}
+
+bool cell_view::shared_outage(instant at) const {
+    const std::lock_guard lock{m_mutex};
+    const auto others = m_members.live().size() - 1;
+    std::size_t without = 0;
+    for (const auto& [node, report] : m_reports) {
+        if (at - report.received >= report_fresh)
+            continue;
+        if (at - report.table_heard < table_heard)
+            return false;
+        ++without;
+    }
+    return without >= std::min(others, outage_witnesses);
+}
+
+// ---- Nodes ----
+
+void cell_view::learn_node(instant at, const pb::member& node) {
+    const std::lock_guard lock{m_mutex};
+    m_members.merge(at, node);
+}
+
+void cell_view::leave() {
+    const std::lock_guard lock{m_mutex};
+    m_members.leave();
+}
+
+std::optional<pb::member> cell_view::node(const std::string& id) const {
+    const std::lock_guard lock{m_mutex};
+    return m_members.find(id);
+}
+
+std::vector<std::string> cell_view::live_nodes() const {
+    const std::lock_guard lock{m_mutex};
+    return m_members.live();
+}
+
+std::vector<pb::member> cell_view::others(bool suspects) const {
+    std::vector<pb::member> found;
+    const std::lock_guard lock{m_mutex};
+    for (const auto& id : m_members.live()) {
+        const auto member = m_members.find(id);
+        if (member && id != m_node && (suspects || !m_members.suspected(id)))
+            found.push_back(*member);
+    }
+    return found;
+}
+
+pb::gossip cell_view::make_message(instant at) {
+    pb::gossip message;
+    message.set_from(m_node);
+    message.set_incarnation(m_incarnation);
+    const std::lock_guard lock{m_mutex};
+    message.set_store_age_ms((at - m_table_heard).count());
+    message.set_layout_version(m_layout_version);
+    for (const auto& update : m_members.updates())
+        *message.add_members() = update;
+    for (const auto& [number, owner] : m_owners) {
+        auto& summary = *message.add_partitions();
+        summary.set_partition(number);
+        summary.set_owner(owner.owner);
+        summary.set_epoch(owner.epoch);
+        summary.set_owner_address(owner.address);
+    }
+    return message;
+}
+
+pb::gossip cell_view::make_reply(instant at, const pb::gossip& message) {
+    auto reply = make_message(at);
+    const std::lock_guard lock{m_mutex};
+    if (message.layout_version() < m_layout_version)
+        reply.set_layout(to_text(m_layout));
+    return reply;
+}
+
+bool cell_view::take_message(instant at, const pb::gossip& message) {
+    std::optional<cell_layout> layout;
+    if (!message.layout().empty()) {
+        layout = parse_layout(message.layout());
+        if (!layout)
+            log_event(log_level::warning, "layout_unreadable",
+                      {{"from", message.from()}, {"reason", last_reason()}});
+    }
+    const std::lock_guard lock{m_mutex};
+    const bool newer = layout && replace_layout(*layout, message.layout_version());
+    for (const auto& update : message.members())
+        m_members.merge(at, update);
+    for (const auto& summary : message.partitions()) {
+        if (summary.partition() < 0 || summary.partition() >= m_layout.partitions)
+            continue;
+        if (!summary.owner().empty() && !incarnation_of(summary.owner())) {
+            log_event(log_level::warning, "owner_unreadable",
+                      {{"from", message.from()}, {"owner", summary.owner()}});
+            continue;
+        }
+        replace_owner(summary.partition(), {summary.owner(), summary.owner_address(), summary.epoch()});
+    }
+    m_reports[message.from()] = {at, at - milliseconds{message.store_age_ms()}};
+    return newer;
+}
+
+std::vector<pb::member> cell_view::next_probes(instant at) {
+    const std::lock_guard lock{m_mutex};
+    m_members.set_without_table(!table_heard_lately(at));
+    m_members.tick(at);
+    return m_members.next_probes(m_members.size() > large_cell ? probes_in_large : probes_in_small);
+}
+
+void cell_view::probe_lost(instant at, const std::string& id) {
+    const std::lock_guard lock{m_mutex};
+    m_members.probe_failed(at, id);
+}
+
+// ---- Owners ----
+
+std::vector<cell_view::owner_probe> cell_view::owners_to_probe(instant at, const std::set<int>& own) {
+    std::vector<owner_probe> probes;
+    const std::lock_guard lock{m_mutex};
+    const auto live = candidates(at);
+    for (const auto& [number, owner] : m_owners) {
+        if (!owner.owner.empty() && !own.contains(number) &&
+            successor_of(number, live, node_of(owner.owner)) == m_node)
+            probes.push_back({number, owner.address});
+    }
+    return probes;
+}
+
+void cell_view::owner_probe_lost(instant at, int partition) {
+    const std::lock_guard lock{m_mutex};
+    m_owner_doubts[partition] = at;
+}
+
+void cell_view::learn_owner(int partition, const owner_view& owner) {
+    const std::lock_guard lock{m_mutex};
+    replace_owner(partition, owner);
+}
+
+void cell_view::replace_owner(int partition, const owner_view& owner) {
+    auto& known = m_owners[partition];
+    if (owner.epoch <= known.epoch)
+        return;
+    known = owner;
+    m_owner_changed(partition);
+}
+
+bool cell_view::owner_known(int partition) const {
+    const std::lock_guard lock{m_mutex};
+    return m_owners.contains(partition);
+}
+
+std::size_t cell_view::owners_known() const {
+    const std::lock_guard lock{m_mutex};
+    return m_owners.size();
+}
+
+std::string cell_view::owner_address(int partition) const {
+    const std::lock_guard lock{m_mutex};
+    const auto found = m_owners.find(partition);
+    return found == m_owners.end() ? std::string{} : found->second.address;
+}
+
+cell_view::own_news cell_view::set_own(const std::map<int, std::uint64_t>& epochs) {
+    own_news news;
+    const std::lock_guard lock{m_mutex};
+    m_owns = !epochs.empty();
+    for (const auto& [number, epoch] : epochs) {
+        const auto known = m_owners[number].epoch;
+        news.any = news.any || known < epoch;
+        if (known > epoch)
+            news.deposed.push_back(number);
+        replace_owner(number, {m_owner_name, m_members.self().peer_address(), epoch});
+    }
+    return news;
+}
+
+std::vector<int> cell_view::due_partitions(instant at, const std::set<int>& passed_over, bool unknown_too) {
+    std::vector<int> due;
+    const std::lock_guard lock{m_mutex};
+    auto live = candidates(at);
+    for (int number = 0; number < m_layout.partitions; ++number) {
+        if (passed_over.contains(number))
+            continue;
+        const auto known = m_owners.find(number);
+        const auto owner = known == m_owners.end() ? std::string{} : known->second.owner;
+        if (owner_lives(owner) && !doubted(at, number, owner))
+            continue;
+        const auto before = node_of(owner);
+        const auto heir = successor_of(number, live, before);
+        count_owned(live, heir);
+        const bool own_again = before == m_node;
+        if ((heir == m_node || own_again) && (unknown_too || known != m_owners.end()))
+            due.push_back(number);
+    }
+    return due;
+}
+
+bool cell_view::may_take(instant at, int partition, const owner_view& owner, std::uint64_t sequence) {
+    const std::lock_guard lock{m_mutex};
+    replace_owner(partition, owner);
+    if (owner_lives(owner.owner) && !doubted(at, partition, owner.owner))
+        return false;
+    if (owner.owner.empty() || node_of(owner.owner) == m_node)
+        return true;
+    auto& seen = m_heads[partition];
+    if (seen.sequence != sequence) {
+        seen = {sequence, at};
+        return false;
+    }
+    return at - seen.at >= head_still;
+}
+
+std::optional<pb::member> cell_view::heir_of(instant at, int partition) {
+    const std::lock_guard lock{m_mutex};
+    const auto heir = successor_of(partition, candidates(at), m_node);
+    return heir == m_node ? std::nullopt : m_members.find(heir);
+}
+
+std::optional<pb::member> cell_view::heir_with_table(instant at, int partition,
+                                                     const std::set<std::string>& asked) {
+    const std::lock_guard lock{m_mutex};
+    auto live = candidates(at);
+    std::erase_if(live, [&](const candidate_owner& each) { return asked.contains(each.node); });
+    const auto heir = successor_of(partition, live, m_node);
+    const auto found = std::ranges::find(live, heir, &candidate_owner::node);
+    if (found == live.end() || !found->hears_table || heir == m_node)
+        return {};
+    return m_members.find(heir);
+}
+
+std::optional<cell_view::partition_move> cell_view::better_owner(instant at, const std::set<int>& own) {
+    const std::lock_guard lock{m_mutex};
+    const auto live = candidates(at);
+    const auto self = std::ranges::find(live, m_node, &candidate_owner::node);
+    std::optional<partition_move> move;
+    for (const auto number : own) {
+        const auto heir = std::ranges::find(live, successor_of(number, live, m_node), &candidate_owner::node);
+        if (self != live.end() && heir != live.end() && worth_moving(*self, *heir))
+            move = {number, heir->node};
+    }
+    return move;
+}
+
+std::vector<candidate_owner> cell_view::candidates(instant at) {
+    if (at - m_candidates_at < candidates_kept)
+        return m_candidates;
+    std::vector<candidate_owner> live;
+    for (const auto& member : m_members.all()) {
+        if (member.state() == pb::member::dead || member.state() == pb::member::left)
+            continue;
+        const bool hears = member.id() == m_node ? table_heard_lately(at) : !member.without_table();
+        live.push_back({member.id(), hears, member.cpu_milli(), 0});
+    }
+    for (const auto& [number, owner] : m_owners) {
+        if (owner_lives(owner.owner))
+            count_owned(live, node_of(owner.owner));
+    }
+    m_candidates = live;
+    m_candidates_at = at;
+    return live;
+}
+
+bool cell_view::doubted(instant at, int partition, const std::string& owner) const {
+    const auto doubt = m_owner_doubts.find(partition);
+    return m_members.suspected(node_of(owner)) ||
+           (doubt != m_owner_doubts.end() && at - doubt->second < owner_doubt);
+}
+
+bool cell_view::owner_lives(const std::string& owner) const {
+    if (owner.empty())
+        return false;
+    if (owner == m_owner_name)
+        return m_owns;
+    const auto member = m_members.find(node_of(owner));
+    if (!member || !m_members.alive(node_of(owner)))
+        return false;
+    const auto incarnation = incarnation_of(owner);
+    return incarnation && member->incarnation() < *incarnation + restarted;
+}
+
+// ---- The layout ----
+
+cell_layout cell_view::layout() const {
+    const std::lock_guard lock{m_mutex};
+    return m_layout;
+}
+
+int cell_view::partitions() const {
+    const std::lock_guard lock{m_mutex};
+    return m_layout.partitions;
+}
+
+bool cell_view::use_layout(const cell_layout& layout, std::int64_t version) {
+    const std::lock_guard lock{m_mutex};
+    return replace_layout(layout, version);
+}
+
+bool cell_view::replace_layout(const cell_layout& layout, std::int64_t version) {
+    if (version <= m_layout_version)
+        return false;
+    m_layout = layout;
+    m_layout_version = version;
+    log_event(log_level::info, "layout_known",
+              {{"partitions", std::to_string(layout.partitions)},
+               {"racks", std::to_string(layout.racks.size())},
+               {"teams", std::to_string(layout.teams.size())}});
+    return true;
+}
+
+bool cell_view::divides(instant at) {
+    const std::lock_guard lock{m_mutex};
+    return m_layout.partitions == 0 && successor_of(0, candidates(at), {}) == m_node;
+}
+
+} // namespace medlarhub
--- a/src/cell/partition_rows.cpp
+++ b/src/cell/partition_rows.cpp
@@ -2,6 +2,8 @@
 
 #include "medlarhub/reason.h"
 
+#include <charconv>
+
 namespace medlarhub {
 
 namespace {
@@ -28,6 +30,16 @@
     return owner.substr(0, owner.rfind('/'));
 }
 
+std::optional<std::uint64_t> incarnation_of(const std::string& owner) {
+    const auto slash = owner.rfind('/');
+    if (slash == std::string::npos)
+        return {};
+    std::uint64_t number = 0;
+    const auto* end = owner.data() + owner.size();
+    const auto read = std::from_chars(owner.data() + slash + 1, end, number);
+    return read.ec == std::errc{} && read.ptr == end ? std::optional{number} : std::nullopt;
+}
+
 partition_rows::partition_rows(table& rows, int partition, std::string owner, std::string peer_address)
     : m_rows{rows}, m_prefix{"p" + std::to_string(partition) + "/"}, m_owner{std::move(owner)},
       m_peer_address{std::move(peer_address)} {}
--- a/src/cell/partition_rows.h
+++ b/src/cell/partition_rows.h
@@ -13,6 +13,8 @@
 
 /// The node of an owner's name, which is `node/incarnation`.
 std::string node_of(const std::string& owner);
+/// Empty when the name has none.
+std::optional<std::uint64_t> incarnation_of(const std::string& owner);
 
 enum class row_outcome {
     written,
--- /dev/null
+++ b/test/cell_view_test.cpp
@@ -0,0 +1,199 @@
+#include "cell/cell_view.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace medlarhub;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t born = 1'000'000;
+
+pb::member node(const std::string& id, std::int64_t cpu_milli = 500) {
+    pb::member made;
+    made.set_id(id);
+    made.set_peer_address(id + ":1");
+    made.set_incarnation(born);
+    made.set_cpu_milli(cpu_milli);
+    return made;
+}
+
+std::string owner_of(const std::string& id, std::uint64_t incarnation = born) {
+    return id + "/" + std::to_string(incarnation);
+}
+
+cell_layout layout_of(int partitions) {
+    cell_layout layout;
+    layout.partitions = partitions;
+    return layout;
+}
+
+/// The view of node `me` of a cell with one partition, in which `other` lives too.
+struct viewer {
+    viewer() {
+        view.table_answered(at);
+        view.learn_node(at, node("other"));
+        view.use_layout(layout_of(1), 1);
+    }
+
+    void pass(milliseconds time) {
+        at += time;
+        view.table_answered(at);
+    }
+
+    instant at = from_ms(5'000'000);
+    std::vector<int> changes;
+    cell_view view{node("me"), 7, [this](int partition) { changes.push_back(partition); }};
+};
+
+pb::gossip message_about(const std::string& owner, std::uint64_t epoch) {
+    pb::gossip message;
+    message.set_from("other");
+    auto& summary = *message.add_partitions();
+    summary.set_partition(0);
+    summary.set_owner(owner);
+    summary.set_epoch(epoch);
+    summary.set_owner_address("other:1");
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("only a later epoch changes who is taken for the owner", "[view]") {
+    viewer with;
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 3});
+    with.view.learn_owner(0, {owner_of("me"), "me:1", 2});
+    CHECK(with.view.owner_address(0) == "other:1");
+    with.view.take_message(with.at, message_about(owner_of("other"), 3));
+    CHECK(with.changes == std::vector<int>{0});
+    with.view.learn_owner(0, {owner_of("me"), "me:1", 4});
+    CHECK(with.view.owner_address(0) == "me:1");
+    CHECK(with.changes == std::vector<int>{0, 0});
+}
+
+TEST_CASE("a partition with a live owner isn't due to another node", "[view]") {
+    viewer with;
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 3});
+    CHECK(with.view.due_partitions(with.at, {}, true).empty());
+    CHECK_FALSE(with.view.may_take(with.at, 0, {owner_of("other"), "other:1", 3}, 10));
+}
+
+TEST_CASE("a doubted owner that still writes keeps its partition", "[view]") {
+    struct row {
+        const char* name;
+        bool writes;
+        bool may_take;
+    };
+    const auto each = GENERATE(row{"its head row moves", true, false}, row{"it stands still", false, true});
+    INFO(each.name);
+    viewer with;
+    const owner_view owner{owner_of("other"), "other:1", 3};
+    with.view.learn_owner(0, owner);
+    std::uint64_t sequence = 10;
+    bool taken = false;
+    for (int round = 0; round < 8; ++round) {
+        with.view.owner_probe_lost(with.at, 0);
+        CHECK(with.view.due_partitions(with.at, {}, true) == std::vector<int>{0});
+        taken = with.view.may_take(with.at, 0, owner, sequence) || taken;
+        sequence += each.writes ? 1 : 0;
+        with.pass(100ms);
+    }
+    CHECK(taken == each.may_take);
+}
+
+TEST_CASE("an owner that restarted is not the owner any more", "[view]") {
+    viewer with;
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 3});
+    auto again = node("other");
+    again.set_incarnation(born + 5000);
+    with.view.learn_node(with.at, again);
+    with.pass(300ms);
+    CHECK(with.view.due_partitions(with.at, {}, true) == std::vector<int>{0});
+}
+
+TEST_CASE("a restarted node is due to take what it owned before, though another comes after it", "[view]") {
+    viewer with;
+    with.view.learn_owner(0, {owner_of("me", born - 5000), "me:1", 3});
+    CHECK(with.view.due_partitions(with.at, {}, true) == std::vector<int>{0});
+    CHECK(with.view.may_take(with.at, 0, {owner_of("me", born - 5000), "me:1", 3}, 10));
+}
+
+TEST_CASE("a partition of which nothing was heard waits until others were heard", "[view]") {
+    viewer with;
+    CHECK(with.view.due_partitions(with.at, {}, false).empty());
+    // Of the two nodes one is due to take it.
+    const bool mine = !with.view.due_partitions(with.at, {}, true).empty();
+    const auto heir = with.view.heir_of(with.at, 0);
+    CHECK((mine || (heir && heir->id() == "other")));
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 1});
+    CHECK(with.view.due_partitions(with.at, {}, true).empty());
+}
+
+TEST_CASE("a node is told which of its partitions have a later owner", "[view]") {
+    viewer with;
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 5});
+    const auto behind = with.view.set_own({{0, 4}});
+    CHECK(behind.deposed == std::vector<int>{0});
+    CHECK_FALSE(behind.any);
+    const auto ahead = with.view.set_own({{0, 6}});
+    CHECK(ahead.deposed.empty());
+    CHECK(ahead.any);
+    CHECK(with.view.owner_address(0) == "me:1");
+}
+
+TEST_CASE("an outage is shared when several without the table were heard lately and none with it", "[view]") {
+    struct row {
+        const char* name;
+        int without;
+        int with_table;
+        milliseconds since;
+        bool shared;
+    };
+    const auto each =
+        GENERATE(row{"all say so", 4, 0, 0ms, true}, row{"one hears it", 4, 1, 0ms, false},
+                 row{"too few said so", 2, 0, 0ms, false}, row{"what was said is old", 4, 0, 2000ms, false});
+    INFO(each.name);
+    viewer with;
+    for (int i = 0; i < 6; ++i)
+        with.view.learn_node(with.at, node("n" + std::to_string(i)));
+    for (int i = 0; i < each.without + each.with_table; ++i) {
+        pb::gossip message;
+        message.set_from("n" + std::to_string(i));
+        message.set_store_age_ms(i < each.without ? 9000 : 0);
+        with.view.take_message(with.at, message);
+    }
+    CHECK(with.view.shared_outage(with.at + each.since) == each.shared);
+}
+
+TEST_CASE("a malformed message changes nothing and stops nobody", "[view]") {
+    struct row {
+        const char* name;
+        std::string owner;
+        std::string layout;
+    };
+    const auto each = GENERATE(row{"an owner without an incarnation", "other", ""},
+                               row{"an incarnation that is no number", "other/x1", ""},
+                               row{"an incarnation that is too long", "other/99999999999999999999999", ""},
+                               row{"a layout that can't be read", owner_of("other"), "{\"partitions\":"});
+    INFO(each.name);
+    viewer with;
+    auto message = message_about(each.owner, 3);
+    message.set_layout(each.layout);
+    message.set_layout_version(9);
+    CHECK_FALSE(with.view.take_message(with.at, message));
+    with.pass(300ms);
+    (void)with.view.due_partitions(with.at, {}, true);
+    CHECK(with.view.partitions() == 1);
+}
+
+TEST_CASE("a reply brings the layout to a node that knows an older one only", "[view]") {
+    viewer with;
+    viewer newer;
+    newer.view.use_layout(layout_of(3), 2);
+    const auto reply = newer.view.make_reply(newer.at, with.view.make_message(with.at));
+    CHECK(with.view.take_message(with.at, reply));
+    CHECK(with.view.partitions() == 3);
+    CHECK(newer.view.make_reply(newer.at, with.view.make_message(with.at)).layout().empty());
+}
