Hand new jobs on to partitions that have room

Ruled out: limits of teams (the gangs' cause in step_waits is room or the limit in use, never too wide a gang), the number of gangs that reserve (40 late gangs in the engine alone take 80 s with one and with any number of them). Change: owners exchange how long work waits for room; a home partition with a wait records in its own rows that a new job is kept elsewhere, and only then is it submitted there. The record answers later submissions, questions and cancellations, also after a takeover, so that no id has two partitions. Jobs with a label, a rack or times, wide gangs and teams at their limit stay.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -44,8 +44,6 @@
 constexpr milliseconds no_layout_retry{1000};
 /// Between looks at how teams' limits are divided.
 constexpr milliseconds cap_period{120};
-/// ... while each team has one partition, and others only ask for jobs of queues that are open to all.
-constexpr milliseconds idle_cap_period{400};
 constexpr milliseconds take_retry{200};
 constexpr milliseconds declared_wait{1000};
 constexpr milliseconds source_retry{200};
@@ -136,24 +134,36 @@
 
     void call(pb::job_call call, job_callback done) {
         const auto layout = m_view.layout();
-        const int partitions = layout.partitions;
+        const int partitions = layout->partitions;
         const auto home =
-            home_partition_of(layout, call.team(), call.id(), widest_gang_cpu_milli(call.spec()));
+            home_partition_of(*layout, call.team(), call.id(), widest_gang_cpu_milli(call.spec()));
         const bool counts = call.what() == pb::job_call::count_pending;
         if (partitions == 0 || (!home && !counts))
             return done(make_job_answer(pb::job_answer::not_run, last_reason(), no_layout_retry));
         if (counts)
             return m_router->call_all(std::move(call), partitions, std::move(done));
         call.set_partition(*home);
-        if (partitions == 1 || call.what() == pb::job_call::submit)
-            return m_router->call(std::move(call), std::move(done));
-        // Wide gangs are kept elsewhere than their team's other jobs, and a job of a queue that is open to
-        // all, or was, may have come without its team.
-        m_router->call(call, [this, call, partitions, done = std::move(done)](const pb::job_answer& answer) {
-            if (answer.result() != pb::job_answer::not_found)
-                return done(answer);
-            m_router->call_all(call, partitions, done);
-        });
+        const auto deadline = now() + milliseconds{call.timeout_ms()};
+        m_router->call(
+            call, [this, call, partitions, deadline, done = std::move(done)](const pb::job_answer& answer) {
+                if (answer.result() == pb::job_answer::elsewhere)
+                    return follow(call, answer, deadline, done);
+                // Wide gangs are kept elsewhere than their team's other jobs, and a job of a queue that is
+                // open to all, or was, may have come without its team.
+                if (answer.result() != pb::job_answer::not_found || partitions == 1)
+                    return done(answer);
+                m_router->call_all(call, partitions, done);
+            });
+    }
+
+    /// Repeats a call at the partition to which its job was handed on.
+    void follow(pb::job_call call, const pb::job_answer& answer, instant deadline, job_callback done) {
+        call.set_partition(answer.partition());
+        call.set_handed_on(true);
+        call.set_beyond_rate(answer.beyond_rate());
+        call.set_maybe_recorded(answer.known_before());
+        call.set_timeout_ms(std::max(deadline - now(), milliseconds{0}).count());
+        m_router->call(std::move(call), std::move(done));
     }
 
     std::shared_ptr<owned_partition> local_partition(int number) const override {
@@ -310,7 +320,7 @@
         }
         std::vector<target_entry> all_owned;
         for (const auto& [number, owned] : partitions()) {
-            const auto slice = slice_of(layout, targets, number);
+            const auto slice = slice_of(*layout, targets, number);
             owned->set_targets(slice);
             all_owned.insert(all_owned.end(), slice.begin(), slice.end());
         }
@@ -325,7 +335,7 @@
             return;
         m_next_layout = at + layout_retry;
         m_divides = m_joined && m_view.divides(at);
-        const auto known = m_view.layout();
+        const auto known = *m_view.layout();
         std::vector<target_entry> targets;
         std::shared_ptr<const cell_config> config;
         instant grown;
@@ -425,6 +435,8 @@
             exchange(member.peer_address(), probe_timeout,
                      [this, id = member.id()] { m_view.probe_lost(now(), id); });
         }
+        for (const auto& address : m_view.owners_to_ask())
+            greet(address);
     }
 
     void probe_owners() {
@@ -531,14 +543,14 @@
 
     void take(int number) {
         const auto layout = m_view.layout();
-        if (number < 0 || number >= layout.partitions)
+        if (number < 0 || number >= layout->partitions)
             return;
         owned_partition_options options;
         options.number = number;
         options.owner = m_view.owner_name();
         options.peer_address = m_options.peer_address;
         options.lease = m_options.lease;
-        options.partitions = layout.partitions;
+        options.partitions = layout->partitions;
         partition_environment environment;
         environment.rows = m_ports.rows.get();
         environment.orders = &m_relayed;
@@ -546,6 +558,9 @@
         environment.ask = [this](const advice_question& question, auto done) {
             ask(question, std::move(done));
         };
+        environment.better_partition = [this, number](const partition_load& load, const pb::job_spec& spec) {
+            return m_view.better_partition(now(), number, load, spec);
+        };
         environment.shared_outage = [this] { return m_view.shared_outage(now()); };
         const auto owned = std::make_shared<owned_partition>(std::move(options), std::move(environment));
         declarations declared;
@@ -555,8 +570,8 @@
             if (m_leaving || m_stopping || !m_owned.emplace(number, owned).second)
                 return;
             declared = m_declared;
-            if (m_targets_known && covers(layout, m_targets))
-                targets = slice_of(layout, m_targets, number);
+            if (m_targets_known && covers(*layout, m_targets))
+                targets = slice_of(*layout, m_targets, number);
         }
         if (declared.config)
             owned->set_declarations(declared);
@@ -584,12 +599,12 @@
 
     /// True when another partition has become active here.
     bool publish_owned() {
-        std::map<int, std::uint64_t> active;
+        std::map<int, cell_view::own_partition> active;
         for (const auto& [number, owned] : partitions()) {
             if (owned->status() == partition_status::active)
-                active[number] = owned->epoch();
+                active[number] = {owned->epoch(), owned->load().wait};
         }
-        const auto news = m_view.set_own(active);
+        const auto news = m_view.set_own(now(), active);
         for (const auto number : news.deposed) {
             if (const auto owned = local_partition(number))
                 owned->depose("a later owner is known");
@@ -653,15 +668,10 @@
 
     void divide_caps() {
         cap_sync sync{*m_ports.rows};
-        auto period = idle_cap_period;
-        while (pause(period)) {
+        while (pause(cap_period)) {
             const auto layout = m_view.layout();
-            if (layout.partitions < 2)
+            if (layout->partitions < 2)
                 continue; // the only partition has all of each limit
-            const bool divided =
-                layout.wide_from_cpu_milli > 0 ||
-                std::ranges::any_of(layout.teams, [](const auto& team) { return team.second.size() > 1; });
-            period = divided ? cap_period : idle_cap_period;
             std::vector<cap_member> members;
             for (const auto& [number, owned] : partitions()) {
                 if (owned->status() == partition_status::active)
@@ -670,7 +680,7 @@
                                            owned->set_team_parts(std::move(parts));
                                        }});
             }
-            sync.round(layout, members);
+            sync.round(*layout, members);
         }
     }
 
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -118,6 +118,8 @@
         locked([&](instant at) {
             if (m_status != partition_status::active)
                 return answer(done, make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
+            if (call.what() != pb::job_call::submit && m_engine->handed_on(call.id()))
+                return answer(done, final_answer(call.id(), true));
             switch (call.what()) {
             case pb::job_call::submit:
                 return submit(at, call, std::move(done));
@@ -168,6 +170,11 @@
         });
     }
 
+    partition_load load() const {
+        const std::lock_guard lock{m_mutex};
+        return m_engine && m_status == partition_status::active ? load_at(now()) : partition_load{};
+    }
+
     partition_status status() const {
         const std::lock_guard lock{m_mutex};
         return m_status;
@@ -197,6 +204,7 @@
         std::string job;
         job_callback done;
         instant deadline;
+        bool known_before = false; ///< the job was, when the call came
     };
 
     /// What was decided under the lock and happens after it.
@@ -330,12 +338,45 @@
             log_event(log_level::info, "job_refused", {{"request", id}, {"reason", "the table is out"}});
             return answer(done, make_job_answer(pb::job_answer::not_run, "the table is out", outage_retry));
         }
-        if (!m_engine->known(id) && refused_for_load(at, call.spec(), done))
+        if (const auto fault = fault_of(call.spec()))
+            return answer(done, make_job_answer(pb::job_answer::invalid, *fault, 0ms));
+        if (m_engine->known(id))
+            return wait_durable(at, call, id, true, std::move(done));
+        if (!call.handed_on() && hand_on(at, call.spec()))
+            return wait_durable(at, call, id, false, std::move(done));
+        if (refused_for_load(at, call.spec(), done))
             return;
-        const auto outcome = m_engine->accept(at, call.spec());
-        if (outcome == accept_outcome::invalid)
-            return answer(done, make_job_answer(pb::job_answer::invalid, *fault_of(call.spec()), 0ms));
-        wait_durable(at, call, id, std::move(done));
+        if (call.handed_on())
+            (void)m_engine->accept_handed_on(at, call.spec(), call.beyond_rate());
+        else
+            (void)m_engine->accept(at, call.spec());
+        wait_durable(at, call, id, false, std::move(done));
+    }
+
+    /// True when another partition is to keep the job.
+    bool hand_on(instant at, const pb::job_spec& spec) {
+        if (!m_environment.better_partition || !m_engine->may_hand_on(spec))
+            return false;
+        const auto partition = m_environment.better_partition(load_at(at), spec);
+        if (partition)
+            m_engine->hand_on(at, spec, *partition);
+        return partition.has_value();
+    }
+
+    partition_load load_at(instant at) const {
+        return {m_engine->wait_for_room(at), m_engine->usable_cpu_milli(at)};
+    }
+
+    /// What is answered once all of the job is durable.
+    pb::job_answer final_answer(const std::string& id, bool known_before) const {
+        const auto handed = m_engine->handed_on(id);
+        auto made = make_job_answer(handed ? pb::job_answer::elsewhere : pb::job_answer::ok, {}, 0ms);
+        if (handed) {
+            made.set_partition(handed->partition);
+            made.set_beyond_rate(handed->beyond_rate);
+            made.set_known_before(known_before);
+        }
+        return made;
     }
 
     bool refused_for_load(instant at, const pb::job_spec& spec, const job_callback& done) {
@@ -357,13 +398,15 @@
     void cancel(instant at, const pb::job_call& call, job_callback done) {
         if (!m_engine->cancel(at, call.id()))
             return answer(done, make_job_answer(pb::job_answer::not_found, "no such job", 0ms));
-        wait_durable(at, call, call.id(), std::move(done));
+        wait_durable(at, call, call.id(), true, std::move(done));
     }
 
-    void wait_durable(instant at, const pb::job_call& call, const std::string& id, job_callback done) {
+    void wait_durable(instant at, const pb::job_call& call, const std::string& id, bool known_before,
+                      job_callback done) {
         if (m_engine->durable(id))
-            return answer(done, make_job_answer(pb::job_answer::ok, {}, 0ms));
-        m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin});
+            return answer(done, final_answer(id, known_before));
+        m_waiters.push_back(
+            {id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin, known_before});
     }
 
     void report() {
@@ -390,7 +433,7 @@
         std::erase_if(m_waiters, [&](const waiter& waiting) {
             if (!m_engine->durable(waiting.job))
                 return false;
-            answer(waiting.done, make_job_answer(pb::job_answer::ok, {}, 0ms));
+            answer(waiting.done, final_answer(waiting.job, waiting.known_before));
             return true;
         });
     }
@@ -651,6 +694,9 @@
 void owned_partition::set_team_parts(std::map<std::string, team_part> parts) {
     m_impl->set_team_parts(std::move(parts));
 }
+partition_load owned_partition::load() const {
+    return m_impl->load();
+}
 bool owned_partition::troubled() const {
     return m_impl->troubled();
 }
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/partition_loads.h"
 #include "cell/ports.h"
 #include "metrics.h"
 
@@ -38,6 +39,8 @@
     std::function<void(const advice_question&, std::function<void(std::optional<advice_reply>)>)> ask;
     /// Whether the table is out for the other nodes too, so that nobody can have taken the partition.
     std::function<bool()> shared_outage;
+    /// The partition to which a new job is handed on while this one has that load; nothing when it is kept.
+    std::function<std::optional<int>(const partition_load&, const pb::job_spec&)> better_partition;
 };
 
 /// A partition that this node owns or is about to: the engine with its table rows, its targets and the
@@ -66,6 +69,9 @@
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
     void set_team_parts(std::map<std::string, team_part> parts);
 
+    /// How full it is; nothing while the partition isn't active.
+    [[nodiscard]] partition_load load() const;
+
     /// Closes it: another node owns the partition by now.
     void depose(std::string_view reason);
 
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -9,6 +9,10 @@
 constexpr milliseconds pass_period{100};
 /// An end later than this many times the goal is worth nothing more.
 constexpr int hopeless_factor = 3;
+/// Below this part of their processors in use, targets have room for what comes.
+constexpr double full_share = 0.6;
+/// The wait while no target can be used.
+constexpr milliseconds no_target_wait{60'000};
 
 /// The longest chain of estimates through a job's steps.
 milliseconds chain_of(const pb::job_spec& spec) {
@@ -88,16 +92,32 @@
         return accept_outcome::known;
     if (fault_of(spec))
         return accept_outcome::invalid;
+    const bool beyond_rate = take_rate(at, spec.team());
+    return add(at, std::move(spec), beyond_rate);
+}
+
+accept_outcome job_engine::accept_handed_on(instant at, pb::job_spec spec, bool beyond_rate) {
+    if (m_jobs.contains(spec.id()))
+        return accept_outcome::known;
+    if (fault_of(spec))
+        return accept_outcome::invalid;
+    return add(at, std::move(spec), beyond_rate);
+}
+
+bool job_engine::take_rate(instant at, const std::string& team) {
+    const auto policy = m_config->teams.find(team);
+    return policy != m_config->teams.end() &&
+           !m_rates[team].take(at, policy->second.jobs_per_second * part_of_team(team).rate);
+}
+
+accept_outcome job_engine::add(instant at, pb::job_spec spec, bool beyond_rate) {
     const auto id = spec.id();
     spec.set_accepted_ms(to_ms(at));
     auto& job = m_jobs[id];
     job.queue = spec.queue();
     job.team = spec.team();
     job.spec = std::move(spec);
-    const auto team = m_config->teams.find(job.team);
-    if (team != m_config->teams.end())
-        job.beyond_rate =
-            !m_rates[job.team].take(at, team->second.jobs_per_second * part_of_team(job.team).rate);
+    job.beyond_rate = beyond_rate;
     m_open.insert(id);
     if (job.spec.times() > 0) {
         m_timed.insert(id);
@@ -118,10 +138,40 @@
     m_open.erase(id);
     m_timed.erase(id);
     std::erase(m_ended, id);
+    std::erase(m_elsewhere, id);
     m_jobs.erase(id);
     return true;
 }
 
+void job_engine::hand_on(instant at, const pb::job_spec& spec, int partition) {
+    auto& job = m_jobs[spec.id()];
+    job.spec.set_id(spec.id());
+    job.queue = spec.queue();
+    job.team = spec.team();
+    job.phase = pb::job_progress::elsewhere;
+    job.partition = partition;
+    job.beyond_rate = take_rate(at, spec.team());
+    job.ended_ms = to_ms(at);
+    m_elsewhere.push_back(spec.id());
+    note("job_handed_on", spec.id(), "to partition " + std::to_string(partition));
+    touch(at, job, true);
+}
+
+std::optional<handed_job> job_engine::handed_on(const std::string& id) const {
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second.phase != pb::job_progress::elsewhere)
+        return {};
+    return handed_job{found->second.partition, found->second.beyond_rate};
+}
+
+bool job_engine::may_hand_on(const pb::job_spec& spec) const {
+    // Racks and labels are found where the team's other work finds them.
+    const bool needs_place = std::ranges::any_of(spec.steps(), [](const pb::step_spec& step) {
+        return !step.required_label().empty() || !step.preferred_rack().empty();
+    });
+    return spec.times() == 0 && !needs_place && !m_over_cap.contains(spec.team());
+}
+
 bool job_engine::cancel(instant at, const std::string& id) {
     auto* job = find(id);
     if (job == nullptr)
@@ -209,6 +259,28 @@
            goal;
 }
 
+std::int64_t job_engine::usable_cpu_milli(instant at) const {
+    std::int64_t capacity = 0;
+    for (const auto& [id, target] : m_targets)
+        capacity += usable(at, target) ? target.entry.capacity.cpu_milli : 0;
+    return capacity;
+}
+
+milliseconds job_engine::wait_for_room(instant at) const {
+    const auto capacity = usable_cpu_milli(at);
+    if (capacity == 0)
+        return no_target_wait;
+    std::int64_t held = 0;
+    for (const auto& [id, target] : m_targets)
+        held += usable(at, target) ? target.held.cpu_milli : 0;
+    if (static_cast<double>(held) < full_share * static_cast<double>(capacity))
+        return {};
+    double waiting = 0;
+    for (const auto& [priority, work] : m_backlog)
+        waiting += work;
+    return milliseconds{static_cast<std::int64_t>(waiting / static_cast<double>(capacity))};
+}
+
 std::optional<milliseconds> job_engine::hopeless_wait(instant at, const pb::job_spec& spec) const {
     const auto queue = m_config->queues.find(spec.queue());
     if (queue == m_config->queues.end() || spec.times() > 0)
@@ -216,9 +288,7 @@
     double ahead = 0;
     for (const auto& [priority, work] : m_backlog)
         ahead += priority <= queue->second.priority ? work : 0;
-    std::int64_t capacity = 0;
-    for (const auto& [id, target] : m_targets)
-        capacity += usable(at, target) ? target.entry.capacity.cpu_milli : 0;
+    const auto capacity = usable_cpu_milli(at);
     if (capacity == 0)
         return {}; // nothing is known of the targets yet
     const milliseconds wait{static_cast<std::int64_t>(ahead / static_cast<double>(capacity))};
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -29,7 +29,9 @@
     milliseconds poll_wait{1000};    ///< how long a target may hold a poll that has no news
     milliseconds idle_poll{4000};    ///< between polls of a target that runs nothing
     milliseconds retention{135'000}; ///< how long an ended job can be asked for
-    milliseconds unknown_runs{0};    ///< after a takeover, how long a target that isn't reached may run tasks
+    /// How long it is remembered which partition a job was handed on to; longer than jobs usually stay open.
+    milliseconds elsewhere_retention{600'000};
+    milliseconds unknown_runs{0}; ///< after a takeover, how long a target that isn't reached may run tasks
 };
 
 enum class order_kind { start, stop };
@@ -120,6 +122,12 @@
     std::string detail;
 };
 
+/// Where a job is kept that was handed on to another partition.
+struct handed_job {
+    int partition = 0;
+    bool beyond_rate = false;
+};
+
 /// What a partition has of a team that may have jobs in several.
 struct team_part {
     double cap = 0;  ///< of its upper limit
@@ -151,6 +159,18 @@
 
     // Callers.
     accept_outcome accept(instant at, pb::job_spec spec);
+    /// Takes a job that another partition of the cell handed on.
+    accept_outcome accept_handed_on(instant at, pb::job_spec spec, bool beyond_rate);
+    /// Remembers that `partition` keeps the job. Once that is durable, the job may be handed on.
+    void hand_on(instant at, const pb::job_spec& spec, int partition);
+    /// Where a job went that was handed on; nothing for all others.
+    [[nodiscard]] std::optional<handed_job> handed_on(const std::string& job) const;
+    /// How long a new job waits for room while others of its team don't wait for its limit; 0 while there is
+    /// room.
+    [[nodiscard]] milliseconds wait_for_room(instant at) const;
+    [[nodiscard]] std::int64_t usable_cpu_milli(instant at) const;
+    /// Whether another partition could run the job as well as this one.
+    [[nodiscard]] bool may_hand_on(const pb::job_spec& spec) const;
     /// How long what waits takes, when that is so long that an end of this job would be worth nothing.
     [[nodiscard]] std::optional<milliseconds> hopeless_wait(instant at, const pb::job_spec& spec) const;
     /// Takes a job back that was never handed out for writing, so that it surely never runs; false otherwise.
@@ -244,6 +264,7 @@
         bool started = false;  ///< a task has started
         bool doubtful = false; ///< from before the takeover: its tasks may run where nobody looked yet
         bool beyond_rate = false;
+        int partition = 0; ///< that keeps it, when it is elsewhere
         int next_occurrence = 0;
         int finished_occurrences = 0;
         std::map<int, occurrence_state> occurrences;
@@ -274,6 +295,9 @@
 
     // engine.cpp: jobs and their ends.
     job_state* find(const std::string& job);
+    accept_outcome add(instant at, pb::job_spec spec, bool beyond_rate);
+    /// Counts a job of the team; true when it is beyond the team's rate.
+    bool take_rate(instant at, const std::string& team);
     step_state* find_step(const task_name& name, job_state** job);
     void open_occurrence(instant at, job_state& job, int number, const pb::occurrence_progress* from);
     [[nodiscard]] milliseconds allowance_of(const pb::job_spec& spec) const;
@@ -291,6 +315,7 @@
     job_rows::row next_row(job_state& job);
     [[nodiscard]] static pb::job_progress progress_of(const job_state& job);
     void forget_old(instant at);
+    void forget_old(instant at, std::deque<std::string>& ended, milliseconds retention);
 
     // engine_targets.cpp and engine_ends.cpp: runs at targets.
     void release(target_state& target, const live_run& run);
@@ -376,7 +401,8 @@
     };
     std::map<std::string, held_back> m_over_cap; ///< by team, in the last pass
     std::map<std::string, rate_allowance> m_rates;
-    std::deque<std::string> m_ended; ///< by time of their end
+    std::deque<std::string> m_ended;     ///< by time of their end
+    std::deque<std::string> m_elsewhere; ///< jobs that were handed on, by that time
 
     std::vector<advice_question> m_questions;
     advice_lanes m_lanes;
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -32,14 +32,17 @@
         job.team = row.team();
         job.ended_ms = row.ended_ms();
         job.finished_occurrences = row.finished_occurrences();
+        job.partition = row.partition();
         job.version = 1;
         job.durable = 1;
         if (job.phase != pb::job_progress::open)
             ended.emplace_back(job.ended_ms, id);
     }
     std::ranges::sort(ended);
-    for (const auto& [at, id] : ended)
-        m_ended.push_back(id);
+    for (const auto& [at, id] : ended) {
+        const bool elsewhere = m_jobs.at(id).phase == pb::job_progress::elsewhere;
+        (elsewhere ? m_elsewhere : m_ended).push_back(id);
+    }
     for (const auto& [id, spec] : specs) {
         auto& job = m_jobs[id];
         job.has_spec_row = true;
@@ -117,6 +120,7 @@
     row.set_queue(job.queue);
     row.set_team(job.team);
     row.set_finished_occurrences(job.finished_occurrences);
+    row.set_partition(job.partition);
     if (job.phase != pb::job_progress::open)
         return row;
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -238,16 +242,20 @@
     if (at < m_next_forget)
         return;
     m_next_forget = at + forget_period;
-    while (!m_ended.empty() && m_forget.size() < forget_batch) {
-        const auto* job = find(m_ended.front());
+    forget_old(at, m_ended, m_options.retention);
+    forget_old(at, m_elsewhere, m_options.elsewhere_retention);
+}
+
+void job_engine::forget_old(instant at, std::deque<std::string>& ended, milliseconds retention) {
+    while (!ended.empty() && m_forget.size() < forget_batch) {
+        const auto* job = find(ended.front());
         if (job != nullptr) {
-            if (at - from_ms(job->ended_ms) < m_options.retention || job->dirty ||
-                job->durable < job->version)
+            if (at - from_ms(job->ended_ms) < retention || job->dirty || job->durable < job->version)
                 return;
-            m_forget.push_back(m_ended.front());
-            m_jobs.erase(m_ended.front());
+            m_forget.push_back(ended.front());
+            m_jobs.erase(ended.front());
         }
-        m_ended.pop_front();
+        ended.pop_front();
     }
 }
 
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -824,3 +824,65 @@
     const auto orders = engine.take_orders(at);
     CHECK(std::ranges::count(orders, "gang", [](const auto& order) { return order.task.job; }) == 4);
 }
+
+TEST_CASE("a job that was handed on is remembered for longer than an ended one, and not run", "[engine]") {
+    job_world world{{}, 41};
+    world.owner().hand_on(world.at(), simple_job("j", {simple_step(1, 1000)}), 2);
+    CHECK_FALSE(world.owner().durable("j"));
+    world.run_for(1s);
+    REQUIRE(world.owner().durable("j"));
+    world.take_over();
+    const auto handed = world.owner().handed_on("j");
+    REQUIRE(handed);
+    CHECK(handed->partition == 2);
+    CHECK(world.owner().pending("checks") == 0);
+    CHECK(world.owner().count().open_jobs == 0);
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.submit(simple_job("usual", {simple_step(1, 1000)}));
+    world.run_for(engine_options{}.retention + 10s);
+    CHECK(world.starts().size() == 1);
+    CHECK_FALSE(world.owner().known("usual"));
+    CHECK(world.owner().handed_on("j"));
+}
+
+TEST_CASE("a job keeps its rank when it is handed on", "[engine][load]") {
+    job_world world{{.targets = 1, .work = 300ms}, 42};
+    world.set_config([](cell_config& config) { config.teams.at("orchard").jobs_per_second = 1000; });
+    // All of it waits for the one target; what its team sent beyond its rate goes last.
+    for (int i = 0; i < 20; ++i)
+        world.submit(simple_job("own" + std::to_string(i), {simple_step(1, 4000)}));
+    const bool beyond_rate = GENERATE(false, true);
+    world.submit_handed_on(simple_job("early", {simple_step(1, 4000)}), beyond_rate);
+    for (int i = 20; i < 30; ++i)
+        world.submit(simple_job("own" + std::to_string(i), {simple_step(1, 4000)}));
+    world.run_for(8s);
+    CHECK((world.owner().state("early") == pb::job_answer::completed) != beyond_rate);
+}
+
+TEST_CASE("a job with a place of its own, or behind its team's limit, isn't handed on", "[engine]") {
+    struct row {
+        const char* name;
+        std::function<void(pb::job_spec&)> change;
+        bool may;
+    };
+    const auto each = GENERATE(
+        row{"a usual one", [](pb::job_spec&) {}, true},
+        row{"needs a label", [](pb::job_spec& job) { job.mutable_steps(0)->set_required_label("a"); }, false},
+        row{"near a rack", [](pb::job_spec& job) { job.mutable_steps(0)->set_preferred_rack("r"); }, false},
+        row{"at times", [](pb::job_spec& job) { job.set_times(3); }, false},
+        row{"of a team at its limit", [](pb::job_spec& job) { job.set_team("full"); }, false});
+    INFO(each.name);
+    job_world world{{.work = 5s}, 43};
+    world.set_config([](cell_config& config) {
+        config.teams["full"] = config.teams.at("orchard");
+        config.teams["full"].name = "full";
+        config.teams["full"].cap.cpu_milli = 1000;
+    });
+    auto many = simple_job("many", {simple_step(4, 1000)});
+    many.set_team("full");
+    world.submit(std::move(many));
+    world.run_for(200ms);
+    auto job = simple_job("j", {simple_step(1, 1000)});
+    each.change(job);
+    CHECK(world.owner().may_hand_on(job) == each.may);
+}
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -87,6 +87,12 @@
     pump();
 }
 
+void job_world::submit_handed_on(pb::job_spec spec, bool beyond_rate) {
+    m_submitted[spec.id()] = spec;
+    (void)m_owner->accept_handed_on(m_at, std::move(spec), beyond_rate);
+    pump();
+}
+
 void job_world::cancel(const std::string& job) {
     if (m_owner->cancel(m_at, job))
         m_cancelled.insert(job);
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -30,6 +30,8 @@
 
     // What a test does by hand.
     void submit(pb::job_spec spec);
+    /// A job that another partition handed on.
+    void submit_handed_on(pb::job_spec spec, bool beyond_rate);
     void cancel(const std::string& job);
     void run_for(milliseconds time);
     /// The next owner: it knows the rows that were written and what targets list.
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <mutex>
@@ -85,14 +86,22 @@
 
 class partition_under_test {
 public:
-    partition_under_test() {
+    partition_under_test() { take("n1/1"); }
+
+    /// The owner is another one from now on.
+    void take(const std::string& owner) {
+        if (owned)
+            owned->join();
         partition_environment environment;
         environment.rows = &rows;
         environment.orders = &m_targets;
         environment.counters = &m_counters;
         environment.ask = [](const advice_question&, auto done) { done(std::nullopt); };
         environment.shared_outage = [] { return false; };
-        owned = std::make_unique<owned_partition>(owned_partition_options{0, "n1/1", "10.0.0.1:1", 4500ms},
+        environment.better_partition = [this](const partition_load&, const pb::job_spec&) {
+            return better.load() < 0 ? std::nullopt : std::optional{better.load()};
+        };
+        owned = std::make_unique<owned_partition>(owned_partition_options{0, owner, "10.0.0.1:1", 4500ms},
                                                   environment);
         owned->set_declarations(one_queue());
         owned->start();
@@ -100,14 +109,16 @@
             std::this_thread::sleep_for(1ms);
     }
 
-    std::future<pb::job_answer> submit(const std::string& id) {
+    std::future<pb::job_answer> submit(const std::string& id) { return call(submission(id)); }
+
+    std::future<pb::job_answer> call(const pb::job_call& call) {
         const auto promise = std::make_shared<std::promise<pb::job_answer>>();
-        owned->call(submission(id),
-                    [promise](pb::job_answer answer) { promise->set_value(std::move(answer)); });
+        owned->call(call, [promise](pb::job_answer answer) { promise->set_value(std::move(answer)); });
         return promise->get_future();
     }
 
     held_table rows;
+    std::atomic<int> better{-1}; ///< the partition that new jobs are handed on to; none below 0
     std::unique_ptr<owned_partition> owned;
 
 private:
@@ -168,3 +179,50 @@
     REQUIRE(next.take());
     CHECK(next.sole_owner() == given.sole);
 }
+
+TEST_CASE("a job is handed on once, also by later owners", "[ownership][recovery]") {
+    partition_under_test partition;
+    partition.better = 2;
+    const auto first = partition.submit("j").get();
+    CHECK(first.result() == pb::job_answer::elsewhere);
+    CHECK(first.partition() == 2);
+    CHECK_FALSE(first.known_before());
+
+    const bool restarts = GENERATE(false, true);
+    partition.better = GENERATE(-1, 1);
+    if (restarts)
+        partition.take("n2/1");
+    const auto again = partition.submit("j").get();
+    CHECK(again.result() == pb::job_answer::elsewhere);
+    CHECK(again.partition() == 2);
+    CHECK(again.known_before());
+    pb::job_call question;
+    question.set_what(GENERATE(pb::job_call::state, pb::job_call::cancel));
+    question.set_id("j");
+    const auto told = partition.call(question).get();
+    CHECK(told.result() == pb::job_answer::elsewhere);
+    CHECK(told.partition() == 2);
+}
+
+TEST_CASE("a job is not said to be elsewhere before that is recorded", "[ownership][recovery]") {
+    partition_under_test partition;
+    partition.better = 2;
+    partition.rows.hold(true);
+    auto in_write = partition.submit("j");
+    partition.rows.await_held();
+    CHECK(in_write.wait_for(50ms) == std::future_status::timeout);
+    partition.owned->depose("another node owns the partition");
+    CHECK(in_write.get().result() == pb::job_answer::unknown);
+    partition.rows.hold(false);
+    partition.owned->join();
+}
+
+TEST_CASE("a job that was handed on is kept where it came to", "[ownership]") {
+    partition_under_test partition;
+    partition.better = 2;
+    auto call = submission("j");
+    call.set_handed_on(true);
+    CHECK(partition.call(call).get().result() == pb::job_answer::ok);
+    partition.better = -1;
+    CHECK(partition.submit("j").get().result() == pb::job_answer::ok);
+}
