Keep a gang's part of its team's limit while it waits for room

A gang that has its part but no room yet isn't held back by the limit any more, so its partition gives the part back, and it waits for the limit again before its question about room is answered. Ruled out: too wide a gang (0.09 of the limit) and a full fleet (40 % in use). Change: what a reserving gang needs counts as held in what its partition wants of the limit. Test: a gang keeps its part of a limit while it waits for room; failed first.

--- a/src/jobs/cap_division.h
+++ b/src/jobs/cap_division.h
@@ -9,7 +9,7 @@
 
 /// What one partition does under a team's upper limit, in parts of that limit.
 struct cap_want {
-    double held = 0; ///< by what runs there
+    double held = 0; ///< by what runs there, and by a gang that waits for room
     /// What the first work that the limit holds back needs at once; 0 when nothing is held back.
     double next = 0;
     double more = 0; ///< what else is held back
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -352,8 +352,9 @@
     target_state* best_target(const ready_step& ready, const task_state& task,
                               const std::vector<target_state*>& allowed,
                               const std::map<std::string, int>& placed_on);
-    /// Holds targets back from later steps until a gang that has no room yet finds some.
-    void reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved);
+    /// Holds targets back from later steps until a gang that has no room yet finds some. False when others
+    /// do so already.
+    bool reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved);
     void place(instant at, const ready_step& ready, int index, target_state& target, int number,
                const std::string& saved);
     void ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates);
@@ -400,6 +401,9 @@
         resources more;
     };
     std::map<std::string, held_back> m_over_cap; ///< by team, in the last pass
+    /// By team, what a gang needs that waits for room and not for the limit. Its part of the limit is kept,
+    /// or another partition would have it by the time that there is room.
+    std::map<std::string, resources> m_claimed;
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended;     ///< by time of their end
     std::deque<std::string> m_elsewhere; ///< jobs that were handed on, by that time
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -90,13 +90,17 @@
 std::map<std::string, cap_want> job_engine::cap_wants() const {
     std::map<std::string, cap_want> wants;
     for (const auto& [name, team] : m_config->teams) {
-        const auto held = m_held.find(name);
+        const auto running = m_held.find(name);
+        const auto claimed = m_claimed.find(name);
         const auto back = m_over_cap.find(name);
-        if (!is_limit(team.cap) || (held == m_held.end() && back == m_over_cap.end()))
+        if (!is_limit(team.cap) ||
+            (running == m_held.end() && claimed == m_claimed.end() && back == m_over_cap.end()))
             continue;
         auto& want = wants[name];
-        if (held != m_held.end())
-            want.held = part_of(team.cap, held->second);
+        auto held = running == m_held.end() ? resources{} : running->second;
+        if (claimed != m_claimed.end())
+            held += claimed->second;
+        want.held = part_of(team.cap, held);
         if (back == m_over_cap.end())
             continue;
         want.next = part_of(team.cap, back->second.next);
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -53,6 +53,7 @@
         return;
     m_changed = false;
     m_over_cap.clear();
+    m_claimed.clear();
     m_stray_tasks.clear();
     for (const auto& [id, target] : m_targets) {
         for (const auto& stray : target.strays)
@@ -188,8 +189,10 @@
     if (result == step_result::no_room && advised)
         ask_advice(at, ready, all);
     if (result == step_result::no_room && spec.gang()) {
-        reserve(at, ready, advised, reserved);
-        if (!all.empty() && wider_than_cap(ready.job->team, unit))
+        const bool too_wide = wider_than_cap(ready.job->team, unit);
+        if (reserve(at, ready, advised, reserved) && !too_wide)
+            m_claimed.try_emplace(ready.job->team, unit);
+        if (!all.empty() && too_wide)
             note_over_cap(ready, unit, at > ready.turn->hopeless);
     }
     return result;
@@ -297,7 +300,7 @@
     return step_result::no_room;
 }
 
-void job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
+bool job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step =
         ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
@@ -316,16 +319,17 @@
     for (const auto* target : by_free)
         room += fits_in(need, target->free());
     const bool keeps_room = step.advice.asked() && room >= spec.count();
-    if (!keeps_room && m_reserving >= reserving_gangs)
-        return;
-    m_reserving += by_free.empty() || keeps_room ? 0 : 1;
+    if (by_free.empty() || (!keeps_room && m_reserving >= reserving_gangs))
+        return false;
+    m_reserving += keeps_room ? 0 : 1;
     std::int64_t missing = spec.count();
     for (const auto* target : by_free) {
         if (missing <= 0)
-            return;
+            break;
         missing -= fits_in(need, keeps_room ? target->free() : target->entry.capacity);
         reserved.insert(target->entry.id);
     }
+    return true;
 }
 
 void job_engine::place(instant at, const ready_step& ready, int index, target_state& target, int number,
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -697,46 +697,93 @@
     CHECK(world.open().empty());
 }
 
-TEST_CASE("an owner of one of several partitions starts nothing beyond its part of a limit",
-          "[engine][caps]") {
-    engine_options options;
-    options.partitions = 3;
-    job_engine engine{options};
-    auto config = std::make_shared<cell_config>();
-    queue_policy queue;
-    queue.name = "checks";
-    queue.service = "orders";
-    config->queues[queue.name] = queue;
-    team_policy team;
-    team.name = "orchard";
-    team.cap.cpu_milli = 9000;
-    config->teams[team.name] = team;
-    engine.set_config(config);
-    engine.set_targets(start, {standin::job_target{"t0", {64'000, 64'000, 0}, start}.entry()});
-    const auto answer_polls = [&] {
-        for (const auto& poll : engine.take_polls(start)) {
+namespace {
+
+/// An owner of one of three partitions with one target. Team orchard has an upper limit of 9 cores, team tea
+/// has none.
+class divided_owner {
+public:
+    explicit divided_owner(std::int64_t cpu_milli) : m_engine{options()} {
+        auto config = std::make_shared<cell_config>();
+        queue_policy queue;
+        queue.name = "checks";
+        queue.service = "orders";
+        config->queues[queue.name] = queue;
+        team_policy team;
+        team.name = "tea";
+        config->teams[team.name] = team;
+        team.name = "orchard";
+        team.cap.cpu_milli = 9000;
+        config->teams[team.name] = team;
+        m_engine.set_config(config);
+        m_engine.set_targets(start, {standin::job_target{"t0", {cpu_milli, 64'000, 0}, start}.entry()});
+        for (const auto& poll : m_engine.take_polls(start)) {
             poll_result result;
             result.outcome = order_outcome::done;
             result.clock_ms = 1;
-            engine.polled(start, start, poll, result);
+            m_engine.polled(start, start, poll, result);
         }
-    };
-    answer_polls();
-    (void)engine.accept(start, simple_job("j", {simple_step(9, 1000)}));
-    (void)engine.take_rows(start);
-    engine.rows_written(start);
-    engine.tick(start + 200ms);
-    CHECK(engine.take_orders(start + 200ms).empty()); // its part isn't known yet
-    engine.set_team_parts({{"orchard", {0.34, 0.34}}});
-    engine.tick(start + 400ms);
-    CHECK(engine.take_orders(start + 400ms).size() == 3);
-    const auto wants = engine.cap_wants();
+    }
+
+    void accept(pb::job_spec spec) {
+        (void)m_engine.accept(start, std::move(spec));
+        (void)m_engine.take_rows(start);
+        m_engine.rows_written(start);
+    }
+
+    /// How many tasks it starts in its next pass.
+    std::size_t starts() {
+        m_at += 200ms;
+        m_engine.tick(m_at);
+        return m_engine.take_orders(m_at).size();
+    }
+
+    [[nodiscard]] job_engine& engine() { return m_engine; }
+
+private:
+    static engine_options options() {
+        engine_options made;
+        made.partitions = 3;
+        return made;
+    }
+
+    job_engine m_engine;
+    instant m_at = start;
+};
+
+} // namespace
+
+TEST_CASE("an owner of one of several partitions starts nothing beyond its part of a limit",
+          "[engine][caps]") {
+    divided_owner owner{64'000};
+    owner.accept(simple_job("j", {simple_step(9, 1000)}));
+    CHECK(owner.starts() == 0); // its part isn't known yet
+    owner.engine().set_team_parts({{"orchard", {0.34, 0.34}}});
+    CHECK(owner.starts() == 3);
+    const auto wants = owner.engine().cap_wants();
     CHECK(wants.at("orchard").held == Approx(1.0 / 3).margin(0.01));
     CHECK(wants.at("orchard").next == Approx(1.0 / 9).margin(0.01));
     CHECK(wants.at("orchard").more == Approx(5.0 / 9).margin(0.01));
-    engine.set_team_parts({{"orchard", {1, 1}}});
-    engine.tick(start + 600ms);
-    CHECK(engine.take_orders(start + 600ms).size() == 6);
+    owner.engine().set_team_parts({{"orchard", {1, 1}}});
+    CHECK(owner.starts() == 6);
+}
+
+TEST_CASE("a gang keeps its part of a limit while it waits for room", "[engine][caps]") {
+    divided_owner owner{10'000};
+    auto tea = simple_job("tea", {simple_step(8, 1000)});
+    tea.set_team("tea");
+    owner.accept(std::move(tea));
+    REQUIRE(owner.starts() == 8);
+    auto gang = simple_step(3, 1000);
+    gang.set_gang(true);
+    owner.accept(simple_job("gang", {gang}));
+    owner.engine().set_team_parts({{"orchard", {0.34, 0.34}}});
+    CHECK(owner.starts() == 0);
+    // Else it would give its part back, and wait for a part again by the time that there is room.
+    const auto wants = owner.engine().cap_wants();
+    REQUIRE(wants.contains("orchard"));
+    CHECK(wants.at("orchard").held == Approx(1.0 / 3).margin(0.01));
+    CHECK(wants.at("orchard").next == 0);
 }
 
 TEST_CASE("a gang that needs more targets than one usual question names is placed",
