Give a part of a limit back only when nothing started in it meanwhile

Ruled out: a lowered limit (none was), a takeover (none near). Found on the way: an owner after a takeover gave back parts that targets it hadn't heard yet may use. Change: wants are asked for when the division is made, and again after the engine was told the smaller part; while not all runs are known the part stays. Tests: work that starts while the table is read, an owner keeps its part until it knows what runs; each failed with its mechanism taken out (the first replays the old order of calls). step_waits tells what of a limit is used.

--- a/src/cell/cap_sync.cpp
+++ b/src/cell/cap_sync.cpp
@@ -12,6 +12,13 @@
 
 constexpr auto cap_prefix = "/cap/";
 constexpr int rows_per_read = 500;
+/// A part is given back only when nothing starts in it meanwhile, tried this often a round.
+constexpr int shrink_tries = 3;
+
+double share_of(const pb::cap_division& division, int partition) {
+    const auto part = division.parts().find(partition);
+    return part == division.parts().end() ? 0 : part->second.share();
+}
 
 } // namespace
 
@@ -54,13 +61,14 @@
     std::set<std::string> teams;
     for (const auto& [team, row] : m_teams)
         teams.insert(team);
+    const auto wants = member.wants();
     // The only partition that keeps a team's jobs has all of its limit, until another one needs some.
     for (const auto& [team, homes] : layout.teams) {
         const auto usual = usual_share(layout, team, member.number);
         state.shares.try_emplace(team, usual);
-        const auto want = member.wants.find(team);
+        const auto want = wants.find(team);
         const bool lacks =
-            want != member.wants.end() && usual < 1 && (want->second.next > 0 || want->second.held > usual);
+            want != wants.end() && usual < 1 && (want->second.next > 0 || want->second.held > usual);
         if (lacks)
             teams.insert(team);
     }
@@ -76,6 +84,38 @@
     member.set_parts(std::move(parts));
 }
 
+std::optional<pb::cap_division> cap_sync::next_division(const cell_layout& layout, const cap_member& member,
+                                                        member_state& state, const std::string& team,
+                                                        const team_row& row) {
+    const auto before = share_of(row.division, member.number);
+    const auto want = [&] {
+        if (!member.runs_known)
+            return cap_want{before, 0, 0};
+        const auto wants = member.wants();
+        const auto found = wants.find(team);
+        return found == wants.end() ? cap_want{} : found->second;
+    };
+    const auto known = state.shares.contains(team) ? state.shares.at(team) : before;
+    // A late write of before may change the row as long as nothing was written after it.
+    const bool settle = state.unsure.contains(team);
+    for (int i = 0; i < shrink_tries; ++i) {
+        const auto divided = divide_cap(row.division, member.number, member.epoch, want());
+        if (!divided && !settle) {
+            state.shares[team] = before;
+            return {};
+        }
+        const auto next = divided.value_or(row.division);
+        const auto share = share_of(next, member.number);
+        state.shares[team] = std::min({known, before, share});
+        tell(layout, member, state);
+        // Work may have started since it said what it wants.
+        if (std::min(want().held, before) <= share)
+            return next;
+    }
+    state.shares[team] = std::min(known, before);
+    return {};
+}
+
 void cap_sync::divide(const cell_layout& layout, const cap_member& member, member_state& state,
                       const std::string& team) {
     auto& row = m_teams[team];
@@ -83,26 +123,12 @@
         if (!row.division.parts().contains(i))
             (*row.division.mutable_parts())[i].set_share(usual_share(layout, team, i));
     }
-    const auto want = member.wants.find(team);
-    const auto none = cap_want{};
-    const auto divided = divide_cap(row.division, member.number, member.epoch,
-                                    want == member.wants.end() ? none : want->second);
-    const auto share_in = [&](const pb::cap_division& division) {
-        return division.parts().at(member.number).share();
-    };
-    // A late write of before may change the row as long as nothing was written after it.
-    const bool settle = state.unsure.contains(team);
-    if (!divided && !settle) {
-        state.shares[team] = share_in(row.division);
+    const auto next = next_division(layout, member, state, team, row);
+    if (!next)
         return;
-    }
-    const auto next = divided.value_or(row.division);
-    const auto known = state.shares.contains(team) ? state.shares.at(team) : share_in(row.division);
-    state.shares[team] = std::min({known, share_in(row.division), share_in(next)});
-    tell(layout, member, state);
     const auto condition = row.version == 0 ? write_condition::absent : write_condition::version;
     const auto result =
-        m_rows.transact({{cap_prefix + team, next.SerializeAsString(), condition, row.version, false}});
+        m_rows.transact({{cap_prefix + team, next->SerializeAsString(), condition, row.version, false}});
     if (result.outcome == write_outcome::unavailable) {
         state.unsure.insert(team);
         log_event(log_level::warning, "cap_write_lost", {{"team", team}, {"reason", last_reason()}});
@@ -110,14 +136,16 @@
     if (result.outcome != write_outcome::committed)
         return;
     state.unsure.erase(team);
-    if (share_in(next) != share_in(row.division))
+    const auto before = share_of(row.division, member.number);
+    const auto share = share_of(*next, member.number);
+    if (share != before)
         log_event(log_level::info, "cap_share",
                   {{"team", team},
                    {"partition", std::to_string(member.number)},
-                   {"share", std::to_string(share_in(next))},
-                   {"before", std::to_string(share_in(row.division))}});
-    row = {next, result.version};
-    state.shares[team] = share_in(next);
+                   {"share", std::to_string(share)},
+                   {"before", std::to_string(before)}});
+    row = {*next, result.version};
+    state.shares[team] = share;
 }
 
 } // namespace medlarhub
--- a/src/cell/cap_sync.h
+++ b/src/cell/cap_sync.h
@@ -18,7 +18,9 @@
 struct cap_member {
     int number = 0;
     std::uint64_t epoch = 0;
-    std::map<std::string, cap_want> wants;                           ///< by team
+    /// Whether it knows all that runs for it. Before that it may hold more than it can tell.
+    bool runs_known = true;
+    std::function<std::map<std::string, cap_want>()> wants;          ///< by team, as of the call
     std::function<void(std::map<std::string, team_part>)> set_parts; ///< by team
 };
 
@@ -50,6 +52,11 @@
     static void tell(const cell_layout& layout, const cap_member& member, const member_state& state);
     void divide(const cell_layout& layout, const cap_member& member, member_state& state,
                 const std::string& team);
+    /// What the division becomes by what the partition wants now; it uses no more than that any longer.
+    /// Nothing when it stays as it is.
+    static std::optional<pb::cap_division> next_division(const cell_layout& layout, const cap_member& member,
+                                                         member_state& state, const std::string& team,
+                                                         const team_row& row);
 
     table& m_rows;
     std::map<std::string, team_row> m_teams;
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -675,7 +675,8 @@
             std::vector<cap_member> members;
             for (const auto& [number, owned] : partitions()) {
                 if (owned->status() == partition_status::active)
-                    members.push_back({number, owned->epoch(), owned->cap_wants(),
+                    members.push_back({number, owned->epoch(), owned->runs_known(),
+                                       [owned = owned] { return owned->cap_wants(); },
                                        [owned = owned](std::map<std::string, team_part> parts) {
                                            owned->set_team_parts(std::move(parts));
                                        }});
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -163,6 +163,11 @@
                                                                 : std::map<std::string, cap_want>{};
     }
 
+    bool runs_known() const {
+        const std::lock_guard lock{m_mutex};
+        return m_engine && m_engine->runs_known();
+    }
+
     void set_team_parts(std::map<std::string, team_part> parts) {
         locked([&](instant) {
             if (m_engine)
@@ -691,6 +696,9 @@
 std::map<std::string, cap_want> owned_partition::cap_wants() const {
     return m_impl->cap_wants();
 }
+bool owned_partition::runs_known() const {
+    return m_impl->runs_known();
+}
 void owned_partition::set_team_parts(std::map<std::string, team_part> parts) {
     m_impl->set_team_parts(std::move(parts));
 }
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -67,6 +67,7 @@
 
     /// See `job_engine`; empty while the partition isn't active.
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
+    [[nodiscard]] bool runs_known() const;
     void set_team_parts(std::map<std::string, team_part> parts);
 
     /// How full it is; nothing while the partition isn't active.
--- a/src/jobs/advice_book.h
+++ b/src/jobs/advice_book.h
@@ -41,6 +41,7 @@
     /// The ticket for a start at `target`, or nothing when there is none that is valid.
     [[nodiscard]] const std::string* ticket(instant at, const std::string& target) const;
     [[nodiscard]] bool any_ticket(instant at) const;
+    [[nodiscard]] std::size_t good_count() const { return m_tickets.size(); }
     [[nodiscard]] bool good(const std::string& target) const { return m_tickets.contains(target); }
     [[nodiscard]] bool known(const std::string& target) const { return m_known.contains(target); }
     [[nodiscard]] bool asked() const { return m_asked; }
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -206,6 +206,8 @@
     // Upper limits of teams.
     /// What the partition does under the limits of teams that have any work here.
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
+    /// False after a takeover while targets that weren't heard yet may run tasks.
+    [[nodiscard]] bool runs_known() const { return !m_doubt; }
     /// The partition's part of each team. With several partitions nothing of a limited team starts before its
     /// part was told.
     void set_team_parts(std::map<std::string, team_part> parts);
@@ -377,6 +379,8 @@
     /// A limit may be lowered below what accepted work needs at once. That runs while its team runs nothing
     /// else.
     [[nodiscard]] bool wider_than_cap(const std::string& team, const resources& unit) const;
+    /// For the log: how much of the limit `unit` needs and what is used of it.
+    [[nodiscard]] std::string describe_limit(const std::string& team, const resources& unit) const;
     /// Counts what the team's limit held back in this pass. Work that is wider than the whole limit holds
     /// others of its team back only once it is late, when all that can be in time has had its turn before.
     void note_over_cap(const ready_step& ready, const resources& unit, bool is_late);
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -3,6 +3,7 @@
 #include "jobs/engine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace medlarhub {
 
@@ -63,6 +64,20 @@
     return policy != m_config->teams.end() && part_of(policy->second.cap, unit) > 1;
 }
 
+std::string job_engine::describe_limit(const std::string& team, const resources& unit) const {
+    if (wider_than_cap(team, unit))
+        return "wider than its team's limit";
+    const auto policy = m_config->teams.find(team);
+    const auto held = m_held.find(team);
+    const auto percent = [&](const resources& used) {
+        const auto part = policy == m_config->teams.end() ? 0 : part_of(policy->second.cap, used);
+        return std::to_string(std::lround(100 * part)) + " %";
+    };
+    return "its team's limit is used: it needs " + percent(unit) + ", " +
+           percent(held == m_held.end() ? resources{} : held->second) + " of " +
+           std::to_string(std::lround(100 * part_of_team(team).cap)) + " % are held here";
+}
+
 bool job_engine::waits_behind_cap(instant at, const ready_step& ready, const resources& unit) {
     if (within_cap(ready.job->team, unit) && !m_over_cap.contains(ready.job->team))
         return false;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -105,9 +105,10 @@
     step.wait_noted = true;
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto unit = spec.gang() ? times(need_of(spec), spec.count()) : need_of(spec);
-    const auto* cause = result == step_result::no_room          ? "no room or no advice"
-                        : wider_than_cap(ready.job->team, unit) ? "wider than its team's limit"
-                                                                : "its team's limit is used";
+    const auto cause =
+        result == step_result::no_room
+            ? "no room or no advice, " + std::to_string(step.advice.good_count()) + " targets known as good"
+            : describe_limit(ready.job->team, unit);
     note("step_waits", ready.job->spec.id(),
          std::to_string(ready.occurrence) + "." + std::to_string(ready.step) + ": " + cause);
 }
--- a/test/cap_division_test.cpp
+++ b/test/cap_division_test.cpp
@@ -67,16 +67,25 @@
     int number = 0;
     std::uint64_t epoch = 1;
     cap_want want;
+    bool runs_known = true;
+    double started = 0; ///< of the limit, by work that starts in its part just after it said what it wants
     double share = 0;
 
     owner(table& rows, int partition) : sync{rows}, number{partition} {}
 
     void round(const cell_layout& layout) {
-        sync.round(layout,
-                   {{number, epoch, {{"a", want}}, [this](const std::map<std::string, team_part>& parts) {
-                         const auto found = parts.find("a");
-                         share = found == parts.end() ? 0 : found->second.cap;
-                     }}});
+        int asked = 0;
+        const auto wants = [this, &asked] {
+            const std::map<std::string, cap_want> told{{"a", want}};
+            if (++asked == 2) // first to see what it lacks, then for the division
+                want.held = std::max(want.held, std::min(share, started));
+            return told;
+        };
+        const auto set_parts = [this](const std::map<std::string, team_part>& parts) {
+            const auto found = parts.find("a");
+            share = found == parts.end() ? 0 : found->second.cap;
+        };
+        sync.round(layout, {{number, epoch, runs_known, wants, set_parts}});
     }
 };
 
@@ -164,6 +173,47 @@
     }
 }
 
+TEST_CASE("work that starts while the table is read keeps its part of the limit", "[caps]") {
+    flaky_table rows;
+    const auto layout = two_homes();
+    owner first{rows, 0};
+    owner second{rows, 1};
+    second.want = {0, 0.5, 0.5}; // it waits for more than its half
+    const bool meanwhile = GENERATE(false, true);
+    for (int i = 0; i < 6; ++i) {
+        first.started = meanwhile && i > 0 ? 0.4 : 0;
+        first.round(layout);
+        second.round(layout);
+        CHECK(first.want.held + second.share <= Approx(1));
+    }
+    CHECK((second.share >= 0.9) != meanwhile);
+}
+
+TEST_CASE("an owner keeps its part of a limit until it knows what runs", "[caps][recovery]") {
+    flaky_table rows;
+    const auto layout = two_homes();
+    owner first{rows, 0};
+    first.want = {0.4, 0.2, 0.2};
+    first.round(layout);
+    owner second{rows, 1};
+    second.want = {0.1, 0.9, 0.9};
+    second.round(layout);
+    first.round(layout);
+    second.round(layout);
+    owner next{rows, 0}; // nothing that runs was heard of yet
+    next.epoch = 2;
+    next.runs_known = false;
+    for (int i = 0; i < 5; ++i) {
+        next.round(layout);
+        second.round(layout);
+        CHECK(second.share <= Approx(0.6));
+    }
+    next.runs_known = true;
+    next.round(layout);
+    second.round(layout);
+    CHECK(second.share >= 0.9);
+}
+
 TEST_CASE("an owner that hears nothing of the table keeps what it has", "[caps]") {
     standin::memory_table rows;
     owner first{rows, 0};
