Tell engines their parts of limits only when these changed

Change: parts are told when they differ; what is wanted is asked for again only when a part shrinks.

--- a/src/cell/cap_sync.cpp
+++ b/src/cell/cap_sync.cpp
@@ -20,6 +20,11 @@
     return part == division.parts().end() ? 0 : part->second.share();
 }
 
+cap_want want_of(const std::map<std::string, cap_want>& wants, const std::string& team) {
+    const auto found = wants.find(team);
+    return found == wants.end() ? cap_want{} : found->second;
+}
+
 } // namespace
 
 bool cap_sync::read_rows() {
@@ -57,7 +62,7 @@
 void cap_sync::serve(const cell_layout& layout, const cap_member& member) {
     auto& state = m_members[member.number];
     if (state.epoch != member.epoch)
-        state = {member.epoch, {}, {}};
+        state = {member.epoch, {}, {}, {}};
     std::set<std::string> teams;
     for (const auto& [team, row] : m_teams)
         teams.insert(team);
@@ -73,33 +78,31 @@
             teams.insert(team);
     }
     for (const auto& team : teams)
-        divide(layout, member, state, team);
+        divide(layout, member, state, team, want_of(wants, team));
     tell(layout, member, state);
 }
 
-void cap_sync::tell(const cell_layout& layout, const cap_member& member, const member_state& state) {
+void cap_sync::tell(const cell_layout& layout, const cap_member& member, member_state& state) {
     std::map<std::string, team_part> parts;
     for (const auto& [team, share] : state.shares)
         parts[team] = {share, usual_share(layout, team, member.number)};
+    if (parts == state.told)
+        return;
+    state.told = parts;
     member.set_parts(std::move(parts));
 }
 
 std::optional<pb::cap_division> cap_sync::next_division(const cell_layout& layout, const cap_member& member,
                                                         member_state& state, const std::string& team,
-                                                        const team_row& row) {
+                                                        cap_want want, const team_row& row) {
     const auto before = share_of(row.division, member.number);
-    const auto want = [&] {
-        if (!member.runs_known)
-            return cap_want{before, 0, 0};
-        const auto wants = member.wants();
-        const auto found = wants.find(team);
-        return found == wants.end() ? cap_want{} : found->second;
-    };
     const auto known = state.shares.contains(team) ? state.shares.at(team) : before;
     // A late write of before may change the row as long as nothing was written after it.
     const bool settle = state.unsure.contains(team);
     for (int i = 0; i < shrink_tries; ++i) {
-        const auto divided = divide_cap(row.division, member.number, member.epoch, want());
+        if (!member.runs_known)
+            want = {before, 0, 0};
+        const auto divided = divide_cap(row.division, member.number, member.epoch, want);
         if (!divided && !settle) {
             state.shares[team] = before;
             return {};
@@ -108,8 +111,11 @@
         const auto share = share_of(next, member.number);
         state.shares[team] = std::min({known, before, share});
         tell(layout, member, state);
+        if (share >= before)
+            return next;
         // Work may have started since it said what it wants.
-        if (std::min(want().held, before) <= share)
+        want = want_of(member.wants(), team);
+        if (!member.runs_known || std::min(want.held, before) <= share)
             return next;
     }
     state.shares[team] = std::min(known, before);
@@ -117,13 +123,13 @@
 }
 
 void cap_sync::divide(const cell_layout& layout, const cap_member& member, member_state& state,
-                      const std::string& team) {
+                      const std::string& team, const cap_want& want) {
     auto& row = m_teams[team];
     for (int i = 0; i < layout.partitions; ++i) {
         if (!row.division.parts().contains(i))
             (*row.division.mutable_parts())[i].set_share(usual_share(layout, team, i));
     }
-    const auto next = next_division(layout, member, state, team, row);
+    const auto next = next_division(layout, member, state, team, want, row);
     if (!next)
         return;
     const auto condition = row.version == 0 ? write_condition::absent : write_condition::version;
--- a/src/cell/cap_sync.h
+++ b/src/cell/cap_sync.h
@@ -44,19 +44,20 @@
     struct member_state {
         std::uint64_t epoch = 0;
         std::map<std::string, double> shares;
+        std::map<std::string, team_part> told;
         std::set<std::string> unsure; ///< teams whose row may yet change by a write that had no answer
     };
 
     [[nodiscard]] bool read_rows();
     void serve(const cell_layout& layout, const cap_member& member);
-    static void tell(const cell_layout& layout, const cap_member& member, const member_state& state);
+    static void tell(const cell_layout& layout, const cap_member& member, member_state& state);
     void divide(const cell_layout& layout, const cap_member& member, member_state& state,
-                const std::string& team);
+                const std::string& team, const cap_want& want);
     /// What the division becomes by what the partition wants now; it uses no more than that any longer.
     /// Nothing when it stays as it is.
     static std::optional<pb::cap_division> next_division(const cell_layout& layout, const cap_member& member,
                                                          member_state& state, const std::string& team,
-                                                         const team_row& row);
+                                                         cap_want want, const team_row& row);
 
     table& m_rows;
     std::map<std::string, team_row> m_teams;
