--- a/test/cap_division_test.cpp
+++ b/test/cap_division_test.cpp
@@ -76,7 +76,7 @@
     void round(const cell_layout& layout) {
         int asked = 0;
         const auto wants = [this, &asked] {
-            const std::map<std::string, cap_want> told{{"a", want}};
+            std::map<std::string, cap_want> told{{"a", want}};
             if (++asked == 1)
                 want.held = std::max(want.held, std::min(share, started));
             return told;
