Hand a team's jobs on to two partitions at most

Jobs of most teams had been handed on to all nine, whose owners write the same 60 rows of limits under conditions; who loses waits for the next round. Ruled out: advice (7 of 721 waits name it), lost runs. Change: alternates_of names two partitions for a team, never the one with wide gangs.

--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -17,6 +17,8 @@
 /// Below this many one partition still serves all.
 constexpr std::size_t most_in_one = 160;
 constexpr int most_partitions = 1000;
+/// Partitions to which one team's jobs are handed on.
+constexpr std::size_t most_alternates = 2;
 constexpr std::uint64_t made_up_racks = 64;
 /// From so many targets on one partition is larger than others, for gangs that no usual one has room for.
 constexpr std::size_t wide_from_targets = 600;
@@ -181,6 +183,21 @@
     return homes->second[hash % homes->second.size()];
 }
 
+std::vector<int> alternates_of(const cell_layout& layout, const std::string& team, int home) {
+    std::vector<std::pair<std::uint64_t, int>> ranked;
+    for (int number = layout.wide_from_cpu_milli > 0 ? 1 : 0; number < layout.partitions; ++number) {
+        if (number != home)
+            ranked.emplace_back(stable_hash(team + "/" + std::to_string(number)), number);
+    }
+    std::ranges::sort(ranked);
+    std::vector<int> alternates;
+    for (const auto& [rank, number] : ranked) {
+        if (alternates.size() < most_alternates)
+            alternates.push_back(number);
+    }
+    return alternates;
+}
+
 double usual_share(const cell_layout& layout, const std::string& team, int partition) {
     const auto homes = layout.teams.find(team);
     if (homes == layout.teams.end() || std::ranges::find(homes->second, partition) == homes->second.end())
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -280,7 +280,7 @@
             milliseconds{step.estimate_ms()} * (static_cast<double>(step.count() * step.need().cpu_milli()) /
                                                 static_cast<double>(load.cpu_milli));
     const std::lock_guard lock{m_mutex};
-    return m_loads.better_than(at, home, load.wait, work);
+    return m_loads.better_than(at, load.wait, alternates_of(*layout, spec.team(), home), work);
 }
 
 std::vector<int> cell_view::due_partitions(instant at, const std::set<int>& passed_over, bool unknown_too) {
--- a/src/cell/partition_loads.cpp
+++ b/src/cell/partition_loads.cpp
@@ -21,16 +21,17 @@
     m_handed_on.erase(partition);
 }
 
-std::optional<int> partition_loads::better_than(instant at, int home, milliseconds wait,
+std::optional<int> partition_loads::better_than(instant at, milliseconds wait, const std::vector<int>& others,
                                                 std::chrono::duration<double> work) {
     if (wait < least_wait)
         return {};
     std::optional<int> best;
     std::chrono::duration<double> best_wait{};
-    for (const auto& [number, load] : m_loads) {
-        if (number == home || at - load.measured > load_fresh)
+    for (const auto number : others) {
+        const auto load = m_loads.find(number);
+        if (load == m_loads.end() || at - load->second.measured > load_fresh)
             continue;
-        const auto expected = load.wait + m_handed_on[number];
+        const auto expected = load->second.wait + m_handed_on[number];
         if (!best || expected < best_wait) {
             best = number;
             best_wait = expected;
--- a/src/cell/partition_loads.h
+++ b/src/cell/partition_loads.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace medlarhub {
 
@@ -27,9 +28,9 @@
     void learn(int partition, const entry& load);
     [[nodiscard]] const std::map<int, entry>& all() const { return m_loads; }
 
-    /// The partition that takes the new job over; nothing when `home` keeps it. `work` is how long the job
-    /// would fill a partition: what was handed on counts until the next load is heard.
-    std::optional<int> better_than(instant at, int home, milliseconds wait,
+    /// The one of `others` that takes a new job over; nothing when it stays where it waits for `wait`. `work`
+    /// is how long the job would fill a partition: what was handed on counts until the next load is heard.
+    std::optional<int> better_than(instant at, milliseconds wait, const std::vector<int>& others,
                                    std::chrono::duration<double> work);
 
 private:
--- a/test/cell_layout_test.cpp
+++ b/test/cell_layout_test.cpp
@@ -206,3 +206,30 @@
     CHECK(widest_gang_cpu_milli(spec) == 26'000);
     CHECK(widest_gang_cpu_milli({}) == 0);
 }
+
+TEST_CASE("a team's jobs are handed on to few partitions, and those of many teams to all", "[layout]") {
+    struct row {
+        int partitions;
+        std::int64_t wide_from_cpu_milli;
+        std::size_t alternates;
+    };
+    const auto each = GENERATE(row{1, 0, 0}, row{2, 0, 1}, row{3, 0, 2}, row{9, 200'000, 2});
+    cell_layout layout;
+    layout.partitions = each.partitions;
+    layout.wide_from_cpu_milli = each.wide_from_cpu_milli;
+    const int home = each.partitions - 1;
+    std::map<int, std::size_t> used;
+    constexpr std::size_t teams = 200;
+    for (std::size_t i = 0; i < teams; ++i) {
+        const auto team = "team" + std::to_string(i);
+        const auto found = alternates_of(layout, team, home);
+        CHECK(found.size() == each.alternates);
+        CHECK(found == alternates_of(layout, team, home));
+        for (const auto number : found)
+            ++used[number];
+    }
+    CHECK_FALSE(used.contains(home));
+    CHECK(used.contains(0) == (each.wide_from_cpu_milli == 0 && each.alternates > 0));
+    for (const auto& [number, count] : used)
+        CHECK(count > teams * each.alternates / used.size() / 2);
+}
--- a/test/partition_loads_test.cpp
+++ b/test/partition_loads_test.cpp
@@ -30,22 +30,22 @@
         row{"nothing heard of late", 800ms, 0ms, 2000ms, {}});
     INFO(each.name);
     partition_loads loads;
-    loads.learn(0, {0ms, start}); // it isn't handed on to where it comes from
+    loads.learn(2, {0ms, start}); // it isn't one of those that may take it
     loads.learn(1, {each.other, start - each.age});
-    CHECK(loads.better_than(start, 0, each.own, 10ms) == each.taker);
+    CHECK(loads.better_than(start, each.own, {1}, 10ms) == each.taker);
 }
 
 TEST_CASE("what was handed on counts until a later load is heard", "[loads]") {
     partition_loads loads;
     loads.learn(1, {0ms, start});
     int handed_on = 0;
-    while (handed_on < 100 && loads.better_than(start, 0, 1000ms, 50ms))
+    while (handed_on < 100 && loads.better_than(start, 1000ms, {1}, 50ms))
         ++handed_on;
     CHECK(handed_on == 11); // up to half of the wait here
     loads.learn(1, {100ms, start - 1ms});
-    CHECK_FALSE(loads.better_than(start, 0, 1000ms, 50ms));
+    CHECK_FALSE(loads.better_than(start, 1000ms, {1}, 50ms));
     loads.learn(1, {100ms, start + 1ms});
-    CHECK(loads.better_than(start, 0, 1000ms, 50ms) == 1);
+    CHECK(loads.better_than(start, 1000ms, {1}, 50ms) == 1);
 }
 
 TEST_CASE("one team's burst is spread over partitions that have room", "[loads][load]") {
@@ -72,8 +72,9 @@
             const std::chrono::duration<double> work{sent.at(home) * 0.01};
             const auto wait =
                 std::chrono::round<milliseconds>(std::chrono::duration<double>{waiting.at(home)});
-            const auto taker =
-                hands_on ? loads.at(home).better_than(at, static_cast<int>(home), wait, work) : std::nullopt;
+            std::vector<int> others{0, 1, 2};
+            std::erase(others, static_cast<int>(home));
+            const auto taker = hands_on ? loads.at(home).better_than(at, wait, others, work) : std::nullopt;
             waiting.at(taker ? static_cast<std::size_t>(*taker) : home) += work.count();
         }
         for (auto& each : waiting)
