Hand on only jobs of teams that are far from their limit

Change: a team that uses half of its limit at home, or waits for it, stays there. Test: two rows of 'a job with a place of its own', the new one failed first.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -169,7 +169,7 @@
     const bool needs_place = std::ranges::any_of(spec.steps(), [](const pb::step_spec& step) {
         return !step.required_label().empty() || !step.preferred_rack().empty();
     });
-    return spec.times() == 0 && !needs_place && !m_over_cap.contains(spec.team());
+    return spec.times() == 0 && !needs_place && far_from_cap(spec.team());
 }
 
 bool job_engine::cancel(instant at, const std::string& id) {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -379,6 +379,8 @@
     /// A limit may be lowered below what accepted work needs at once. That runs while its team runs nothing
     /// else.
     [[nodiscard]] bool wider_than_cap(const std::string& team, const resources& unit) const;
+    /// Whether the team may run far more than it does: elsewhere it would only wait for its limit.
+    [[nodiscard]] bool far_from_cap(const std::string& team) const;
     /// For the log: how much of the limit `unit` needs and what is used of it.
     [[nodiscard]] std::string describe_limit(const std::string& team, const resources& unit) const;
     /// Counts what the team's limit held back in this pass. Work that is wider than the whole limit holds
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -11,6 +11,8 @@
 
 /// From here on a partition has a limit to itself.
 constexpr double whole_share = 0.999;
+/// Of its limit, what a team uses at most while it is far from it.
+constexpr double used_far_from_cap = 0.5;
 
 /// How much of the limit that is, by the resource of which it is most.
 double part_of(const resources& cap, const resources& used) {
@@ -64,6 +66,14 @@
     return policy != m_config->teams.end() && part_of(policy->second.cap, unit) > 1;
 }
 
+bool job_engine::far_from_cap(const std::string& team) const {
+    const auto policy = m_config->teams.find(team);
+    const auto held = m_held.find(team);
+    if (policy == m_config->teams.end() || held == m_held.end())
+        return !m_over_cap.contains(team);
+    return !m_over_cap.contains(team) && part_of(policy->second.cap, held->second) < used_far_from_cap;
+}
+
 std::string job_engine::describe_limit(const std::string& team, const resources& unit) const {
     if (wider_than_cap(team, unit))
         return "wider than its team's limit";
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -917,17 +917,22 @@
         row{"needs a label", [](pb::job_spec& job) { job.mutable_steps(0)->set_required_label("a"); }, false},
         row{"near a rack", [](pb::job_spec& job) { job.mutable_steps(0)->set_preferred_rack("r"); }, false},
         row{"at times", [](pb::job_spec& job) { job.set_times(3); }, false},
-        row{"of a team at its limit", [](pb::job_spec& job) { job.set_team("full"); }, false});
+        row{"of a team at its limit", [](pb::job_spec& job) { job.set_team("full"); }, false},
+        row{"of a team that uses most of its limit", [](pb::job_spec& job) { job.set_team("busy"); }, false},
+        row{"of a team far from its limit", [](pb::job_spec& job) { job.set_team("usual"); }, true});
     INFO(each.name);
     job_world world{{.work = 5s}, 43};
-    world.set_config([](cell_config& config) {
-        config.teams["full"] = config.teams.at("orchard");
-        config.teams["full"].name = "full";
-        config.teams["full"].cap.cpu_milli = 1000;
-    });
-    auto many = simple_job("many", {simple_step(4, 1000)});
-    many.set_team("full");
-    world.submit(std::move(many));
+    for (const auto* team : {"full", "busy", "usual"}) {
+        world.set_config([&](cell_config& config) {
+            config.teams[team] = config.teams.at("orchard");
+            config.teams[team].name = team;
+            config.teams[team].cap.cpu_milli = 1000;
+        });
+        const std::int64_t part = team == std::string{"usual"} ? 200 : 600;
+        auto job = simple_job(team, {simple_step(team == std::string{"full"} ? 4 : 1, part)});
+        job.set_team(team);
+        world.submit(std::move(job));
+    }
     world.run_for(200ms);
     auto job = simple_job("j", {simple_step(1, 1000)});
     each.change(job);
