--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -70,6 +70,8 @@
                                                                    : "it surely reached none"};
     if (line.event == "step_waits")
         return "a step waits past its time, " + detail;
+    if (line.event == "step_waited")
+        return "a step no longer waits, " + detail;
     if (line.event == "task_placed")
         return "places a task: " + detail;
     if (line.event == "start_refused")
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -4,6 +4,7 @@
 #include "jobs/advice_lanes.h"
 #include "jobs/cap_division.h"
 #include "jobs/cell_config.h"
+#include "jobs/step_wait.h"
 #include "jobs/target_table.h"
 #include "jobs/task_name.h"
 #include "jobs/waiting_order.h"
@@ -247,6 +248,7 @@
         std::vector<int> gang_failed_runs;
         std::string gang_saved;
         step_advice advice;
+        step_wait wait;
         bool wait_noted = false; ///< that it waits past its worth, for the log
     };
 
@@ -338,27 +340,16 @@
     void check_lapses(instant at);
     void claim_done(instant at);
 
-    // engine_schedule.cpp: who runs where.
-    void schedule(instant at);
-    /// Whether all there is to do for a step is to wait for tickets, or for its turn to ask for them.
-    bool waits_for_advice(instant at, const ready_step& ready);
-    void count_backlog(instant at, const std::vector<ready_step>& waiting);
-    enum class step_result { placed, no_room, over_cap };
-    /// Logs once why a step waits past its worth.
-    void note_wait(instant at, const ready_step& ready, step_result result);
-    step_result schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
+    // engine_gangs.cpp: where gangs run.
     /// Places all tasks of a gang on the allowed targets, or none.
-    step_result place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
-    /// Places as many tasks of a step on the allowed targets as there is room for.
-    step_result place_tasks(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
-    target_state* best_target(const ready_step& ready, const task_state& task,
-                              const std::vector<target_state*>& allowed,
-                              const std::map<std::string, int>& placed_on);
+    wait_cause place_gang(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
     /// Holds targets back from later steps until a gang that has no room yet finds some. False when others
     /// do so already.
     bool reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved);
-    void place(instant at, const ready_step& ready, int index, target_state& target, int number,
-               const std::string& saved);
+
+    // engine_advice.cpp: which targets are good for a step.
+    /// Whether all there is to do for a step is to wait for tickets, or for its turn to ask for them.
+    bool waits_for_advice(instant at, const ready_step& ready);
     void ask_advice(instant at, const ready_step& ready, const std::vector<target_state*>& candidates);
     /// Targets that are good for the step, and those of which it isn't known that have most room.
     static std::vector<target_state*> worth_asking(const step_state& step,
@@ -367,7 +358,32 @@
     std::vector<target_state*> worth_asking_for_gang(const ready_step& ready,
                                                      const std::vector<target_state*>& candidates);
     [[nodiscard]] std::int64_t free_cpu_milli(instant at) const;
+
+    // engine_schedule.cpp: who runs where.
+    void schedule(instant at);
+    /// Steps that have their turn in this pass.
+    std::vector<ready_step> collect_waiting(instant at);
+    static std::ptrdiff_t count_queued(const step_state& step);
+    static step_state& step_of(const ready_step& ready);
+    void count_backlog(instant at, const std::vector<ready_step>& waiting);
+    /// Logs why a step waits past its worth, and a notable wait once it is over.
+    void note_wait(instant at, const ready_step& ready, wait_cause cause);
+    [[nodiscard]] std::string describe_cause(const ready_step& ready, wait_cause cause) const;
+    wait_cause schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
+    wait_cause cause_of_no_room(instant at, const ready_step& ready, bool advised);
+    /// Places as many tasks of a step on the allowed targets as there is room for.
+    wait_cause place_tasks(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
+    target_state* best_target(const ready_step& ready, const task_state& task,
+                              const std::vector<target_state*>& allowed,
+                              const std::map<std::string, int>& placed_on);
+    void place(instant at, const ready_step& ready, int index, target_state& target, int number,
+               const std::string& saved);
+    /// Targets that could run a task of the step if they were empty and the advice service agreed.
+    [[nodiscard]] std::vector<target_state*> suitable_targets(instant at, const ready_step& ready);
+    /// Those of them that have room for one now.
     [[nodiscard]] std::vector<target_state*> candidates(instant at, const ready_step& ready);
+    /// How many tasks of the step one target with that much room may run.
+    static std::int64_t most_members(const pb::step_spec& spec, const resources& room);
     /// Whether an unwanted run of the task is still on its way out somewhere.
     [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
--- /dev/null
+++ b/src/jobs/engine_advice.cpp
@@ -0,0 +1,185 @@
+// Questions to the advice service: which steps ask, about which targets, and what they learn.
+
+#include "jobs/engine.h"
+
+#include <algorithm>
+
+namespace medlarhub {
+
+namespace {
+
+/// Targets that one question usually names at most ...
+constexpr std::size_t asked_at_a_time = 30;
+/// ... and for a gang that needs more.
+constexpr std::size_t most_asked_at_a_time = 100;
+
+} // namespace
+
+bool job_engine::waits_for_advice(instant at, const ready_step& ready) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto queue = m_config->queues.find(ready.job->queue);
+    if (spec.gang() || queue == m_config->queues.end() || !queue->second.advice)
+        return false;
+    const auto& step = step_of(ready);
+    if (step.advice.any_ticket(at) || (step.advice.due(at) && m_lanes.any_free(at)))
+        return false;
+    const auto queued = count_queued(step);
+    m_unasked_cpu_milli -= queued * need_of(spec).cpu_milli;
+    return true;
+}
+
+std::int64_t job_engine::free_cpu_milli(instant at) const {
+    std::int64_t free = 0;
+    for (const auto& [id, target] : m_targets) {
+        if (usable(at, target))
+            free += std::max<std::int64_t>(target.free().cpu_milli, 0);
+    }
+    return free;
+}
+
+void job_engine::ask_advice(instant at, const ready_step& ready,
+                            const std::vector<target_state*>& candidates) {
+    auto& step = step_of(ready);
+    const auto queued = count_queued(step);
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need_of_all = queued * need_of(spec).cpu_milli;
+    // Room that earlier steps are about to use is not asked for twice. A gang uses none before it finds all.
+    const bool room_left = m_unasked_cpu_milli > 0;
+    if (!spec.gang())
+        m_unasked_cpu_milli -= need_of_all;
+    if (!room_left)
+        return;
+    if (!step.advice.due(at)) {
+        m_changed = m_changed || !step.advice.asked();
+        return;
+    }
+    auto useful = spec.gang() ? worth_asking_for_gang(ready, candidates) : worth_asking(step, candidates);
+    if (spec.gang() && !useful.empty())
+        m_unasked_cpu_milli -= need_of_all;
+    const auto& policy = *m_config->queues.at(ready.job->queue).advice;
+    advice_question question;
+    question.step = task_name{ready.job->spec.id(), ready.occurrence, ready.step, 0}.step_string();
+    for (const auto* target : useful) {
+        if (step.advice.ticket(at, target->entry.id) == nullptr &&
+            question.targets.size() < most_asked_at_a_time)
+            question.targets.push_back(target->entry.id);
+    }
+    if (question.targets.empty())
+        return;
+    const auto cost = policy.decide + policy.per_target * static_cast<double>(question.targets.size());
+    question.cost = std::chrono::ceil<milliseconds>(cost);
+    const auto node = m_lanes.take(at, question.cost);
+    if (!node)
+        return;
+    question.node = *node;
+    step.advice.ask();
+    m_asked_steps[question.step] = {ready.job->spec.id(), ready.occurrence, ready.step, 0};
+    m_questions.push_back(std::move(question));
+}
+
+std::vector<target_state*> job_engine::worth_asking(const step_state& step,
+                                                    const std::vector<target_state*>& candidates) {
+    std::vector<target_state*> useful;
+    std::vector<target_state*> unknown;
+    for (auto* target : candidates) {
+        const auto& id = target->entry.id;
+        if (step.advice.good(id))
+            useful.push_back(target);
+        else if (!step.advice.known(id))
+            unknown.push_back(target);
+    }
+    std::ranges::stable_sort(unknown, std::ranges::greater{},
+                             [](const target_state* target) { return target->free().cpu_milli; });
+    if (unknown.size() > asked_at_a_time)
+        unknown.resize(asked_at_a_time);
+    useful.insert(useful.end(), unknown.begin(), unknown.end());
+    return useful;
+}
+
+std::vector<target_state*> job_engine::worth_asking_for_gang(const ready_step& ready,
+                                                             const std::vector<target_state*>& candidates) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto need = need_of(spec);
+    const auto& step = step_of(ready);
+    const auto wanted = static_cast<double>(spec.count());
+    const auto members_in = [&](const resources& room) {
+        const auto fits = fits_in(need, room);
+        return static_cast<double>(
+            spec.max_per_target() > 0 ? std::min<std::int64_t>(fits, spec.max_per_target()) : fits);
+    };
+    // What is known to be good holds so many members if it were empty.
+    double good_capacity = 0;
+    for (const auto& [id, target] : m_targets) {
+        if (step.advice.good(id))
+            good_capacity += members_in(target.entry.capacity);
+    }
+    std::vector<target_state*> useful;
+    std::vector<target_state*> unknown;
+    double expected = 0;
+    for (auto* target : candidates) {
+        const auto& id = target->entry.id;
+        if (step.advice.good(id)) {
+            useful.push_back(target);
+            expected += members_in(target->free());
+        } else if (!step.advice.known(id)) {
+            unknown.push_back(target);
+        }
+    }
+    std::ranges::stable_sort(unknown, std::ranges::greater{},
+                             [](const target_state* target) { return target->free().cpu_milli; });
+    const auto good_share = m_good_share[ready.job->queue].value();
+    std::size_t asked = 0;
+    for (auto* target : unknown) {
+        if (asked >= most_asked_at_a_time || (asked >= asked_at_a_time && expected >= wanted))
+            break;
+        expected += good_share * members_in(target->free());
+        useful.push_back(target);
+        ++asked;
+    }
+    // While it has no room anyway it asks only to learn for which targets it is to wait.
+    if (expected < wanted && (good_capacity >= wanted || asked == 0))
+        return {};
+    return useful;
+}
+
+std::vector<advice_question> job_engine::take_questions() {
+    return std::exchange(m_questions, {});
+}
+
+void job_engine::advised(instant at, const advice_question& question, const std::vector<advice_ticket>& good,
+                         milliseconds valid) {
+    const auto asked = m_asked_steps.find(question.step);
+    if (asked == m_asked_steps.end())
+        return;
+    job_state* job = nullptr;
+    auto* step = find_step(asked->second, &job);
+    m_asked_steps.erase(asked);
+    if (step == nullptr)
+        return;
+    const auto fresh = std::ranges::count_if(
+        question.targets, [&](const std::string& target) { return !step->advice.known(target); });
+    const auto fresh_good = std::ranges::count_if(
+        good, [&](const advice_ticket& each) { return !step->advice.known(each.target); });
+    m_good_share[job->queue].add(fresh, fresh_good);
+    step->advice.answered(at, question.targets, good, valid);
+    m_changed = true;
+    schedule(at);
+}
+
+void job_engine::set_advisers(std::vector<std::string> nodes) {
+    m_lanes.set_nodes(std::move(nodes));
+}
+
+void job_engine::advice_failed(instant at, const advice_question& question) {
+    m_lanes.failed(at, question.node);
+    const auto asked = m_asked_steps.find(question.step);
+    if (asked == m_asked_steps.end())
+        return;
+    auto* step = find_step(asked->second, nullptr);
+    m_asked_steps.erase(asked);
+    if (step != nullptr)
+        step->advice.failed(at);
+    m_changed = true;
+}
+
+} // namespace medlarhub
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -83,9 +83,8 @@
         const auto part = policy == m_config->teams.end() ? 0 : part_of(policy->second.cap, used);
         return std::to_string(std::lround(100 * part)) + " %";
     };
-    return "its team's limit is used: it needs " + percent(unit) + ", " +
-           percent(held == m_held.end() ? resources{} : held->second) + " of " +
-           std::to_string(std::lround(100 * part_of_team(team).cap)) + " % are held here";
+    return "it needs " + percent(unit) + ", " + percent(held == m_held.end() ? resources{} : held->second) +
+           " of " + std::to_string(std::lround(100 * part_of_team(team).cap)) + " % are held here";
 }
 
 bool job_engine::waits_behind_cap(instant at, const ready_step& ready, const resources& unit) {
@@ -99,10 +98,8 @@
     if (wider_than_cap(ready.job->team, unit) && !is_late)
         return;
     const auto& spec = ready.job->spec.steps(ready.step);
-    const auto& step =
-        ready.job->occurrences.at(ready.occurrence).steps[static_cast<std::size_t>(ready.step)];
-    const auto queued = std::ranges::count_if(
-        step.tasks, [](const task_state& task) { return !task.done && task.on.empty(); });
+    const auto& step = step_of(ready);
+    const auto queued = count_queued(step);
     auto more = times(need_of(spec), queued);
     auto [found, first] = m_over_cap.try_emplace(ready.job->team);
     if (first) {
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -1,6 +1,7 @@
 #include "jobs/target_table.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace medlarhub {
 
@@ -39,4 +40,16 @@
            fits(need.accelerators, free.accelerators);
 }
 
+std::int64_t fits_in(const resources& need, const resources& free) {
+    auto fits = std::numeric_limits<std::int64_t>::max();
+    const auto limit = [&](std::int64_t wanted, std::int64_t left) {
+        if (wanted > 0)
+            fits = std::min(fits, std::max<std::int64_t>(left, 0) / wanted);
+    };
+    limit(need.cpu_milli, free.cpu_milli);
+    limit(need.memory_mb, free.memory_mb);
+    limit(need.accelerators, free.accelerators);
+    return fits;
+}
+
 } // namespace medlarhub
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -76,5 +76,7 @@
 
 /// Whether `need` fits into `free`; unlike a plain comparison nothing has to be free for a need of 0.
 bool has_room(const resources& need, const resources& free);
+/// How often `need` fits into `free`.
+std::int64_t fits_in(const resources& need, const resources& free);
 
 } // namespace medlarhub
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -938,3 +938,68 @@
     each.change(job);
     CHECK(world.owner().may_hand_on(job) == each.may);
 }
+
+TEST_CASE("the log names the one cause for which a step waits", "[engine][log]") {
+    struct row {
+        const char* name;
+        wait_cause cause;
+        std::function<void(job_world&)> given;
+    };
+    const auto wide = [](int count) {
+        auto step = simple_step(count, 3000);
+        step.set_gang(true);
+        return step;
+    };
+    const auto advised = [](job_world& world) {
+        world.set_config([](cell_config& config) {
+            config.queues.at("checks").advice =
+                advice_policy{std::chrono::milliseconds{10}, std::chrono::milliseconds{1}, 2000ms};
+        });
+        world.owner().set_advisers({"n1", "n2"});
+    };
+    const auto each = GENERATE_COPY(
+        row{"no room", wait_cause::room, [&](job_world& world) { world.submit(simple_job("j", {wide(9)})); }},
+        row{"held back", wait_cause::held_back,
+            [&](job_world& world) {
+                world.submit(simple_job("g", {wide(9)}));
+                world.submit(simple_job("j", {simple_step(1, 500)}));
+            }},
+        row{"drained", wait_cause::no_target,
+            [&](job_world& world) {
+                world.owner().set_drained({"vernon"});
+                world.submit(simple_job("j", {simple_step(1, 500)}));
+            }},
+        row{"limit", wait_cause::limit,
+            [&](job_world& world) {
+                world.set_config(
+                    [](cell_config& config) { config.teams.at("orchard").cap.cpu_milli = 1000; });
+                world.submit(simple_job("j", {simple_step(2, 700)}));
+            }},
+        row{"advice that never comes", wait_cause::advice,
+            [&](job_world& world) {
+                advised(world);
+                world.hold_advice(true);
+                world.submit(simple_job("j", {simple_step(1, 500)}));
+            }},
+        row{"too few good targets", wait_cause::good_targets,
+            [&](job_world& world) {
+                advised(world);
+                world.submit(simple_job("j", {wide(4)}));
+            }},
+        row{"not recorded", wait_cause::not_written, [&](job_world& world) {
+                world.hold_writes(true);
+                world.submit(simple_job("j", {simple_step(1, 500)}));
+            }});
+    INFO(each.name);
+    job_world world{{.work = 60s, .good_one_in = 1}, 51};
+    world.run_for(100ms);
+    each.given(world);
+    world.run_for(3s);
+    std::string told;
+    for (const auto& event : world.owner().take_events()) {
+        if (event.what == "step_waits" && event.job == "j")
+            told = event.detail;
+    }
+    INFO(told);
+    CHECK(told.find("; now for " + std::string{name_of(each.cause)}) != std::string::npos);
+}
