Count only usable targets as good for a gang that decides whether to ask

Cause: a gang stops asking for advice once the targets that it knows as good could hold it, and counted those that were drained or had left. Evidence: the new test fails without the change, its gang never starts.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -355,7 +355,7 @@
     static std::vector<target_state*> worth_asking(const step_state& step,
                                                    const std::vector<target_state*>& candidates);
     /// As many targets as a gang may be expected to need; none while it knows what it waits for.
-    std::vector<target_state*> worth_asking_for_gang(const ready_step& ready,
+    std::vector<target_state*> worth_asking_for_gang(instant at, const ready_step& ready,
                                                      const std::vector<target_state*>& candidates);
     [[nodiscard]] std::int64_t free_cpu_milli(instant at) const;
 
--- a/src/jobs/engine_advice.cpp
+++ b/src/jobs/engine_advice.cpp
@@ -53,7 +53,7 @@
         m_changed = m_changed || !step.advice.asked();
         return;
     }
-    auto useful = spec.gang() ? worth_asking_for_gang(ready, candidates) : worth_asking(step, candidates);
+    auto useful = spec.gang() ? worth_asking_for_gang(at, ready, candidates) : worth_asking(step, candidates);
     if (spec.gang() && !useful.empty())
         m_unasked_cpu_milli -= need_of_all;
     const auto& policy = *m_config->queues.at(ready.job->queue).advice;
@@ -96,22 +96,19 @@
     return useful;
 }
 
-std::vector<target_state*> job_engine::worth_asking_for_gang(const ready_step& ready,
+std::vector<target_state*> job_engine::worth_asking_for_gang(instant at, const ready_step& ready,
                                                              const std::vector<target_state*>& candidates) {
     const auto& spec = ready.job->spec.steps(ready.step);
-    const auto need = need_of(spec);
     const auto& step = step_of(ready);
     const auto wanted = static_cast<double>(spec.count());
     const auto members_in = [&](const resources& room) {
-        const auto fits = fits_in(need, room);
-        return static_cast<double>(
-            spec.max_per_target() > 0 ? std::min<std::int64_t>(fits, spec.max_per_target()) : fits);
+        return static_cast<double>(most_members(spec, room));
     };
-    // What is known to be good holds so many members if it were empty.
+    // What is known to be good, and can be used, holds so many members if it were empty.
     double good_capacity = 0;
-    for (const auto& [id, target] : m_targets) {
-        if (step.advice.good(id))
-            good_capacity += members_in(target.entry.capacity);
+    for (const auto* target : suitable_targets(at, ready)) {
+        if (step.advice.good(target->entry.id))
+            good_capacity += members_in(target->entry.capacity);
     }
     std::vector<target_state*> useful;
     std::vector<target_state*> unknown;
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -1003,3 +1003,43 @@
     INFO(told);
     CHECK(told.find("; now for " + std::string{name_of(each.cause)}) != std::string::npos);
 }
+
+TEST_CASE("a gang asks for other targets when those that are good for it can't be used any more",
+          "[engine][advice]") {
+    job_world world{{.targets = 15, .work = 2s, .good_one_in = 2}, 52};
+    world.set_config([](cell_config& config) {
+        auto& queue = config.queues.at("checks");
+        queue.latency_goal = 2s;
+        queue.advice = advice_policy{std::chrono::milliseconds{50}, std::chrono::milliseconds{1}, 2000ms};
+    });
+    world.owner().set_advisers({"n0", "n1", "n2", "n3"});
+    auto entries = world.entries();
+    constexpr std::size_t first_part = 8;
+    constexpr int members = 4; // each fills a target
+    const auto good_in = [&](const std::string& id, std::size_t begin, std::size_t end) {
+        int good = 0;
+        for (auto i = begin; i < end; ++i)
+            good += world.is_good(id + ".0.0", entries[i].id) ? 1 : 0;
+        return good;
+    };
+    std::string id = "g0";
+    for (int i = 0; good_in(id, 0, first_part) < members || good_in(id, first_part, entries.size()) < members;
+         ++i)
+        id = "g" + std::to_string(i);
+    const auto use = [&](bool first) {
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            entries[i].draining = (i < first_part) != first;
+        world.owner().set_targets(world.at(), entries);
+    };
+    use(true);
+    world.run_for(200ms);
+    auto gang = simple_step(members, 3000);
+    gang.set_gang(true);
+    world.hold_writes(true); // it learns which targets are good before it may start
+    world.submit(simple_job(id, {gang}));
+    world.run_for(200ms);
+    use(false);
+    world.hold_writes(false);
+    world.run_for(5s);
+    CHECK(world.owner().state(id) == pb::job_answer::completed);
+}
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -74,11 +74,15 @@
     m_owner->set_config(m_config);
     m_owner->restore(m_specs, m_progress);
     m_owner->restore_roster(m_at, m_roster);
+    m_owner->set_targets(m_at, entries());
+    pump();
+}
+
+std::vector<target_entry> job_world::entries() const {
     std::vector<target_entry> entries;
     for (const auto& [id, target] : m_targets)
         entries.push_back(target.entry());
-    m_owner->set_targets(m_at, entries);
-    pump();
+    return entries;
 }
 
 void job_world::submit(pb::job_spec spec) {
@@ -145,7 +149,7 @@
         return m_owner->advice_failed(m_at, question);
     std::vector<advice_ticket> good;
     for (const auto& target : question.targets) {
-        if (stable_hash(question.step + target) % static_cast<std::uint64_t>(m_options.good_one_in) == 0)
+        if (is_good(question.step, target))
             good.push_back({target, "ticket"});
     }
     m_messages.emplace(m_at + question.cost, [this, owner = m_owner, question, good] {
@@ -153,6 +157,10 @@
     });
 }
 
+bool job_world::is_good(const std::string& step, const std::string& target) const {
+    return stable_hash(step + target) % static_cast<std::uint64_t>(m_options.good_one_in) == 0;
+}
+
 void job_world::write_rows() {
     while (m_rows_out || m_owner->write_due(m_at)) {
         if (!m_rows_out)
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -59,6 +59,9 @@
 
     [[nodiscard]] job_engine& owner() { return *m_owner; }
     [[nodiscard]] standin::job_target& target(const std::string& id) { return m_targets.at(id); }
+    [[nodiscard]] std::vector<target_entry> entries() const;
+    /// What the advice service says.
+    [[nodiscard]] bool is_good(const std::string& step, const std::string& target) const;
     [[nodiscard]] const std::vector<std::string>& starts() const { return m_starts; }
     [[nodiscard]] instant at() const { return m_at; }
     /// The first thing that broke a promise; empty when nothing did.
