--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -561,6 +561,9 @@
         environment.better_partition = [this, number](const partition_load& load, const pb::job_spec& spec) {
             return m_view.better_partition(now(), number, load, spec);
         };
+        environment.submit_elsewhere = [this](pb::job_call call, job_callback done) {
+            m_router->call(std::move(call), std::move(done));
+        };
         environment.shared_outage = [this] { return m_view.shared_outage(now()); };
         const auto owned = std::make_shared<owned_partition>(std::move(options), std::move(environment));
         declarations declared;
@@ -601,8 +604,10 @@
     bool publish_owned() {
         std::map<int, cell_view::own_partition> active;
         for (const auto& [number, owned] : partitions()) {
-            if (owned->status() == partition_status::active)
-                active[number] = {owned->epoch(), owned->load().wait};
+            if (owned->status() == partition_status::active) {
+                const auto load = owned->load();
+                active[number] = {owned->epoch(), load.wait, load.gang_wait};
+            }
         }
         const auto news = m_view.set_own(now(), active);
         for (const auto number : news.deposed) {
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -129,6 +129,7 @@
         if (load == m_loads.all().end())
             continue;
         summary.set_wait_ms(load->second.wait.count());
+        summary.set_gang_wait_ms(load->second.gang_wait.count());
         summary.set_load_age_ms((at - load->second.measured).count());
     }
     return message;
@@ -165,7 +166,8 @@
         replace_owner(summary.partition(), {summary.owner(), summary.owner_address(), summary.epoch()});
         if (summary.has_load_age_ms() && summary.load_age_ms() >= 0)
             m_loads.learn(summary.partition(),
-                          {milliseconds{summary.wait_ms()}, at - milliseconds{summary.load_age_ms()}});
+                          {milliseconds{summary.wait_ms()}, milliseconds{summary.gang_wait_ms()},
+                           at - milliseconds{summary.load_age_ms()}});
     }
     m_reports[message.from()] = {at, at - milliseconds{message.store_age_ms()}};
     return newer;
@@ -241,7 +243,7 @@
         if (known > partition.epoch)
             news.deposed.push_back(number);
         replace_owner(number, {m_owner_name, m_members.self().peer_address(), partition.epoch});
-        m_loads.learn(number, {partition.wait, at});
+        m_loads.learn(number, {partition.wait, partition.gang_wait, at});
     }
     return news;
 }
@@ -270,8 +272,8 @@
 std::optional<int> cell_view::better_partition(instant at, int home, const partition_load& load,
                                                const pb::job_spec& spec) {
     const auto layout = this->layout();
-    const bool wide =
-        layout->wide_from_cpu_milli > 0 && widest_gang_cpu_milli(spec) >= layout->wide_from_cpu_milli;
+    const auto gang_cpu_milli = widest_gang_cpu_milli(spec);
+    const bool wide = layout->wide_from_cpu_milli > 0 && gang_cpu_milli >= layout->wide_from_cpu_milli;
     if (wide || load.cpu_milli <= 0)
         return {};
     std::chrono::duration<double, std::milli> work{0};
@@ -280,7 +282,8 @@
             milliseconds{step.estimate_ms()} * (static_cast<double>(step.count() * step.need().cpu_milli()) /
                                                 static_cast<double>(load.cpu_milli));
     const std::lock_guard lock{m_mutex};
-    return m_loads.better_than(at, load.wait, alternates_of(*layout, spec.team(), home), work);
+    return m_loads.better_than(at, load.wait, alternates_of(*layout, spec.team(), home), work,
+                               gang_cpu_milli > 0);
 }
 
 std::vector<int> cell_view::due_partitions(instant at, const std::set<int>& passed_over, bool unknown_too) {
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -91,6 +91,7 @@
     struct own_partition {
         std::uint64_t epoch = 0;
         milliseconds wait{0}; ///< see `partition_load`
+        milliseconds gang_wait{0};
     };
     /// Takes note of what this node owns now.
     own_news set_own(instant at, const std::map<int, own_partition>& own);
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -41,6 +41,9 @@
 constexpr milliseconds outage_retry{1000};
 constexpr milliseconds longest_retry{5000};
 constexpr milliseconds report_period{1000};
+/// Between looks at what waits here and could run elsewhere.
+constexpr milliseconds move_period{250};
+constexpr milliseconds move_timeout{2000};
 constexpr double lease_drift = 1.02;
 
 /// Ends of steps come with every job; all other events are rare enough to be logged as a matter of course.
@@ -118,6 +121,14 @@
         locked([&](instant at) {
             if (m_status != partition_status::active)
                 return answer(done, make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
+            const bool asks_state = call.what() == pb::job_call::state;
+            if (asks_state && m_engine->moving(call.id())) {
+                auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
+                made.set_state(pb::job_answer::queued);
+                return answer(done, std::move(made));
+            }
+            if (call.what() == pb::job_call::cancel && m_engine->moving(call.id()))
+                return wait_durable(at, call, call.id(), true, std::move(done));
             if (call.what() != pb::job_call::submit && m_engine->handed_on(call.id()))
                 return answer(done, final_answer(call.id(), true));
             switch (call.what()) {
@@ -150,6 +161,10 @@
                 return;
             m_engine->tick(at);
             answer_late(at);
+            if (at >= m_next_move) {
+                m_next_move = at + move_period;
+                move_jobs(at);
+            }
             if (at >= m_next_report) {
                 m_next_report = at + report_period;
                 report();
@@ -218,6 +233,7 @@
         milliseconds start_timeout{0};
         std::vector<poll_order> polls;
         std::vector<advice_question> questions;
+        std::vector<job_move> moves;
         std::vector<engine_event> events;
         std::vector<std::function<void()>> answers;
         bool wake = false;
@@ -262,6 +278,7 @@
         if (m_status != partition_status::active)
             return;
         out.questions = m_engine->take_questions();
+        out.moves = m_engine->take_moves(at);
         if (may_command()) {
             out.orders = m_engine->take_orders(at);
             out.start_timeout = m_patience.timeout();
@@ -281,6 +298,8 @@
             poll(order);
         for (const auto& question : out.questions)
             ask(question);
+        for (const auto& each : out.moves)
+            submit_elsewhere(each);
         for (const auto& answer : out.answers)
             answer();
         for (const auto& event : out.events)
@@ -331,6 +350,49 @@
         });
     }
 
+    // ---- Other partitions ----
+
+    /// Hands on jobs that wait here and could run elsewhere.
+    void move_jobs(instant at) {
+        if (!m_environment.better_partition || table_out(at))
+            return;
+        struct choice {
+            std::string job;
+            int partition = 0;
+        };
+        std::vector<choice> chosen;
+        const auto cpu_milli = m_engine->usable_cpu_milli(at);
+        for (const auto& [wait, spec] : m_engine->movable(at)) {
+            if (const auto partition = m_environment.better_partition({wait, wait, cpu_milli}, *spec))
+                chosen.push_back({spec->id(), *partition});
+        }
+        for (const auto& each : chosen)
+            m_engine->move(at, each.job, each.partition);
+    }
+
+    void submit_elsewhere(const job_move& move) {
+        pb::job_call call;
+        call.set_what(pb::job_call::submit);
+        call.set_partition(move.partition);
+        call.set_team(move.spec.team());
+        call.set_queue(move.spec.queue());
+        call.set_id(move.spec.id());
+        call.set_timeout_ms(move_timeout.count());
+        *call.mutable_spec() = move.spec;
+        call.set_handed_on(true);
+        call.set_beyond_rate(move.beyond_rate);
+        call.set_maybe_recorded(true);
+        m_environment.submit_elsewhere(
+            std::move(call), [self = shared_from_this(), id = move.spec.id()](const pb::job_answer& answer) {
+                self->locked([&](instant at) {
+                    if (!self->m_engine)
+                        return;
+                    self->m_engine->moved(at, id, answer.result() == pb::job_answer::ok);
+                    self->answer_durable();
+                });
+            });
+    }
+
     // ---- Callers ----
 
     bool table_out(instant at) const {
@@ -349,7 +411,8 @@
             return wait_durable(at, call, id, true, std::move(done));
         if (!call.handed_on() && hand_on(at, call.spec()))
             return wait_durable(at, call, id, false, std::move(done));
-        if (refused_for_load(at, call.spec(), done))
+        const bool accepted_before = call.spec().accepted_ms() != 0;
+        if (!accepted_before && refused_for_load(at, call.spec(), done))
             return;
         if (call.handed_on())
             (void)m_engine->accept_handed_on(at, call.spec(), call.beyond_rate());
@@ -369,7 +432,7 @@
     }
 
     partition_load load_at(instant at) const {
-        return {m_engine->wait_for_room(at), m_engine->usable_cpu_milli(at)};
+        return {m_engine->wait_for_room(at), m_engine->longest_gang_wait(at), m_engine->usable_cpu_milli(at)};
     }
 
     /// What is answered once all of the job is durable.
@@ -406,9 +469,12 @@
         wait_durable(at, call, call.id(), true, std::move(done));
     }
 
+    /// Whether callers may be told what became of the job.
+    bool settled(const std::string& id) const { return m_engine->durable(id) && !m_engine->moving(id); }
+
     void wait_durable(instant at, const pb::job_call& call, const std::string& id, bool known_before,
                       job_callback done) {
-        if (m_engine->durable(id))
+        if (settled(id))
             return answer(done, final_answer(id, known_before));
         m_waiters.push_back(
             {id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin, known_before});
@@ -436,7 +502,7 @@
 
     void answer_durable() {
         std::erase_if(m_waiters, [&](const waiter& waiting) {
-            if (!m_engine->durable(waiting.job))
+            if (!settled(waiting.job))
                 return false;
             answer(waiting.done, final_answer(waiting.job, waiting.known_before));
             return true;
@@ -657,6 +723,7 @@
     overload_gate m_gate;
     call_patience m_patience; ///< for starts
     instant m_next_report{};
+    instant m_next_move{};
     instant m_failing_since{};
     instant m_write_sent{}; ///< of a write that is under way
     std::atomic<bool> m_stopping{false};
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -39,8 +39,10 @@
     std::function<void(const advice_question&, std::function<void(std::optional<advice_reply>)>)> ask;
     /// Whether the table is out for the other nodes too, so that nobody can have taken the partition.
     std::function<bool()> shared_outage;
-    /// The partition to which a new job is handed on while this one has that load; nothing when it is kept.
+    /// The partition to which a job is handed on while this one has that load; nothing when it is kept.
     std::function<std::optional<int>(const partition_load&, const pb::job_spec&)> better_partition;
+    /// Brings a call to the owner of another partition; answers once.
+    std::function<void(pb::job_call, job_callback)> submit_elsewhere;
 };
 
 /// A partition that this node owns or is about to: the engine with its table rows, its targets and the
--- a/src/cell/partition_loads.cpp
+++ b/src/cell/partition_loads.cpp
@@ -1,5 +1,7 @@
 #include "cell/partition_loads.h"
 
+#include <algorithm>
+
 namespace medlarhub {
 
 namespace {
@@ -22,7 +24,7 @@
 }
 
 std::optional<int> partition_loads::better_than(instant at, milliseconds wait, const std::vector<int>& others,
-                                                std::chrono::duration<double> work) {
+                                                std::chrono::duration<double> work, bool gang) {
     if (wait < least_wait)
         return {};
     std::optional<int> best;
@@ -31,7 +33,8 @@
         const auto load = m_loads.find(number);
         if (load == m_loads.end() || at - load->second.measured > load_fresh)
             continue;
-        const auto expected = load->second.wait + m_handed_on[number];
+        const auto there = gang ? std::max(load->second.wait, load->second.gang_wait) : load->second.wait;
+        const auto expected = there + m_handed_on[number];
         if (!best || expected < best_wait) {
             best = number;
             best_wait = expected;
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -30,6 +30,14 @@
 
 } // namespace
 
+bool may_run_anywhere(const pb::job_spec& spec) {
+    // Racks and labels are found where the team's other work finds them.
+    const bool needs_place = std::ranges::any_of(spec.steps(), [](const pb::step_spec& step) {
+        return !step.required_label().empty() || !step.preferred_rack().empty();
+    });
+    return spec.times() == 0 && !needs_place;
+}
+
 resources need_of(const pb::step_spec& step) {
     resources need{step.need().cpu_milli(), step.need().memory_mb(), step.need().accelerators()};
     if (step.fills_spare())
@@ -101,6 +109,7 @@
         return accept_outcome::known;
     if (fault_of(spec))
         return accept_outcome::invalid;
+    spec.set_moved(true);
     return add(at, std::move(spec), beyond_rate);
 }
 
@@ -112,18 +121,22 @@
 
 accept_outcome job_engine::add(instant at, pb::job_spec spec, bool beyond_rate) {
     const auto id = spec.id();
-    spec.set_accepted_ms(to_ms(at));
+    const bool is_new = spec.accepted_ms() == 0;
+    if (is_new)
+        spec.set_accepted_ms(to_ms(at));
+    const auto accepted = from_ms(spec.accepted_ms());
     auto& job = m_jobs[id];
     job.queue = spec.queue();
     job.team = spec.team();
     job.spec = std::move(spec);
     job.beyond_rate = beyond_rate;
+    job.moved = job.spec.moved();
     m_open.insert(id);
     if (job.spec.times() > 0) {
         m_timed.insert(id);
         open_due_occurrences(at, job);
     } else {
-        open_occurrence(at, job, 0, nullptr);
+        open_occurrence(accepted, job, 0, nullptr);
     }
     touch(at, job, true);
     m_changed = true;
@@ -165,11 +178,7 @@
 }
 
 bool job_engine::may_hand_on(const pb::job_spec& spec) const {
-    // Racks and labels are found where the team's other work finds them.
-    const bool needs_place = std::ranges::any_of(spec.steps(), [](const pb::step_spec& step) {
-        return !step.required_label().empty() || !step.preferred_rack().empty();
-    });
-    return spec.times() == 0 && !needs_place && far_from_cap(spec.team());
+    return may_run_anywhere(spec) && far_from_cap(spec.team());
 }
 
 bool job_engine::cancel(instant at, const std::string& id) {
@@ -385,7 +394,7 @@
     job.ended_ms = to_ms(at);
     m_open.erase(id);
     m_timed.erase(id);
-    m_ended.push_back(id);
+    (job.moved ? m_elsewhere : m_ended).push_back(id);
     note("job_ended", id, pb::job_progress::phase_Name(phase));
     stop_runs(job);
     touch(at, job, true);
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -31,7 +31,8 @@
     milliseconds poll_wait{1000};    ///< how long a target may hold a poll that has no news
     milliseconds idle_poll{4000};    ///< between polls of a target that runs nothing
     milliseconds retention{135'000}; ///< how long an ended job can be asked for
-    /// How long it is remembered which partition a job was handed on to; longer than jobs usually stay open.
+    /// How long a job that came from another partition, or left for one, is remembered there; longer than
+    /// jobs usually stay open.
     milliseconds elsewhere_retention{600'000};
     milliseconds unknown_runs{0}; ///< after a takeover, how long a target that isn't reached may run tasks
 };
@@ -124,6 +125,13 @@
     std::string detail;
 };
 
+/// A job that another partition is to keep. It is submitted there until that partition has recorded it.
+struct job_move {
+    pb::job_spec spec;
+    int partition = 0;
+    bool beyond_rate = false;
+};
+
 /// Where a job is kept that was handed on to another partition.
 struct handed_job {
     int partition = 0;
@@ -167,6 +175,20 @@
     void hand_on(instant at, const pb::job_spec& spec, int partition);
     /// Where a job went that was handed on; nothing for all others.
     [[nodiscard]] std::optional<handed_job> handed_on(const std::string& job) const;
+    /// Accepted jobs of which nothing has started and which another partition could run, those that wait
+    /// longest for room first, with how long they do.
+    [[nodiscard]] std::vector<std::pair<milliseconds, const pb::job_spec*>> movable(instant at) const;
+    /// Has another partition keep a job that `movable` names. Its home remembers that, and answers for it
+    /// until the other one has it.
+    void move(instant at, const std::string& job, int partition);
+    /// Jobs to submit to their new partitions now.
+    [[nodiscard]] std::vector<job_move> take_moves(instant at);
+    /// Tells whether the new partition has recorded the job.
+    void moved(instant at, const std::string& job, bool recorded);
+    /// Whether the job is on its way to another partition.
+    [[nodiscard]] bool moving(const std::string& job) const { return m_moving.contains(job); }
+    /// How long the gang that waits longest for room has waited.
+    [[nodiscard]] milliseconds longest_gang_wait(instant at) const;
     /// How long a new job waits for room while others of its team don't wait for its limit; 0 while there is
     /// room.
     [[nodiscard]] milliseconds wait_for_room(instant at) const;
@@ -270,7 +292,8 @@
         bool started = false;  ///< a task has started
         bool doubtful = false; ///< from before the takeover: its tasks may run where nobody looked yet
         bool beyond_rate = false;
-        int partition = 0; ///< that keeps it, when it is elsewhere
+        int partition = 0;  ///< that keeps it, when it is elsewhere
+        bool moved = false; ///< from another partition
         int next_occurrence = 0;
         int finished_occurrences = 0;
         std::map<int, occurrence_state> occurrences;
@@ -315,6 +338,10 @@
     void stop_runs(job_state& job);
     void note(std::string what, std::string job, std::string detail);
 
+    // engine_moves.cpp: jobs that leave for another partition.
+    [[nodiscard]] bool never_started(const job_state& job) const;
+    [[nodiscard]] milliseconds wait_for_targets(instant at, const job_state& job) const;
+
     // engine_rows.cpp: what is written and read back.
     void touch(instant at, job_state& job, bool awaited);
     void fill_rows(std::deque<waiting_write>& from, write_room& room, job_rows& to);
@@ -444,7 +471,9 @@
     std::map<std::string, resources> m_claimed;
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended;     ///< by time of their end
-    std::deque<std::string> m_elsewhere; ///< jobs that were handed on, by that time
+    std::deque<std::string> m_elsewhere; ///< jobs that left, and ended ones that came, by that time
+    std::map<std::string, instant>
+        m_moving; ///< jobs that the partition told hasn't recorded, by their next try
 
     std::vector<advice_question> m_questions;
     advice_lanes m_lanes;
@@ -497,6 +526,9 @@
 /// Why a spec can't be taken, or nothing when it can.
 std::optional<std::string> fault_of(const pb::job_spec& spec);
 
+/// Whether the job needs no targets of a certain kind or place.
+bool may_run_anywhere(const pb::job_spec& spec);
+
 resources need_of(const pb::step_spec& step);
 /// What so many tasks of that need hold together.
 resources times(const resources& need, std::int64_t count);
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -33,6 +33,7 @@
         job.ended_ms = row.ended_ms();
         job.finished_occurrences = row.finished_occurrences();
         job.partition = row.partition();
+        job.moved = row.moved();
         job.version = 1;
         job.durable = 1;
         if (job.phase != pb::job_progress::open)
@@ -40,8 +41,9 @@
     }
     std::ranges::sort(ended);
     for (const auto& [at, id] : ended) {
-        const bool elsewhere = m_jobs.at(id).phase == pb::job_progress::elsewhere;
-        (elsewhere ? m_elsewhere : m_ended).push_back(id);
+        const auto& job = m_jobs.at(id);
+        const bool other = job.moved || job.phase == pb::job_progress::elsewhere;
+        (other ? m_elsewhere : m_ended).push_back(id);
     }
     for (const auto& [id, spec] : specs) {
         auto& job = m_jobs[id];
@@ -51,6 +53,11 @@
         job.spec = spec;
         job.queue = spec.queue();
         job.team = spec.team();
+        job.moved = spec.moved();
+        if (job.phase == pb::job_progress::elsewhere) {
+            m_moving[id] = {}; // whether the other partition has it isn't known
+            continue;
+        }
         if (job.phase != pb::job_progress::open) {
             job.writing = job.version; // only the spec is left to be dropped
             job.dirty = true;
@@ -121,6 +128,7 @@
     row.set_team(job.team);
     row.set_finished_occurrences(job.finished_occurrences);
     row.set_partition(job.partition);
+    row.set_moved(job.moved);
     if (job.phase != pb::job_progress::open)
         return row;
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -204,7 +212,8 @@
     row.job = job.spec.id();
     const bool ended = job.phase != pb::job_progress::open;
     const bool end_told = ended && !job.urgent && job.writing == job.version;
-    if (end_told && job.has_spec_row) {
+    const bool leaving = m_moving.contains(row.job);
+    if (end_told && job.has_spec_row && !leaving) {
         row.drop_spec = true;
         job.has_spec_row = false;
     } else if (!ended && !job.has_spec_row) {
@@ -215,7 +224,7 @@
     }
     job.writing = job.version;
     job.urgent = false;
-    job.dirty = ended && job.has_spec_row;
+    job.dirty = ended && job.has_spec_row && !leaving;
     if (job.dirty)
         m_dirty.push_back({++m_last_write_number, row.job});
     return row;
@@ -250,7 +259,8 @@
     while (!ended.empty() && m_forget.size() < forget_batch) {
         const auto* job = find(ended.front());
         if (job != nullptr) {
-            if (at - from_ms(job->ended_ms) < retention || job->dirty || job->durable < job->version)
+            if (at - from_ms(job->ended_ms) < retention || job->dirty || job->durable < job->version ||
+                m_moving.contains(ended.front()))
                 return;
             m_forget.push_back(ended.front());
             m_jobs.erase(ended.front());
--- a/test/partition_loads_test.cpp
+++ b/test/partition_loads_test.cpp
@@ -30,21 +30,29 @@
         row{"nothing heard of late", 800ms, 0ms, 2000ms, {}});
     INFO(each.name);
     partition_loads loads;
-    loads.learn(2, {0ms, start}); // it isn't one of those that may take it
-    loads.learn(1, {each.other, start - each.age});
+    loads.learn(2, {0ms, 0ms, start}); // it isn't one of those that may take it
+    loads.learn(1, {each.other, 0ms, start - each.age});
     CHECK(loads.better_than(start, each.own, {1}, 10ms) == each.taker);
 }
 
+TEST_CASE("a gang goes where no gang waits, other work where there is room", "[loads]") {
+    partition_loads loads;
+    loads.learn(1, {0ms, 900ms, start});
+    loads.learn(2, {300ms, 300ms, start});
+    const bool gang = GENERATE(false, true);
+    CHECK(loads.better_than(start, 1000ms, {1, 2}, 10ms, gang) == (gang ? 2 : 1));
+}
+
 TEST_CASE("what was handed on counts until a later load is heard", "[loads]") {
     partition_loads loads;
-    loads.learn(1, {0ms, start});
+    loads.learn(1, {0ms, 0ms, start});
     int handed_on = 0;
     while (handed_on < 100 && loads.better_than(start, 1000ms, {1}, 50ms))
         ++handed_on;
     CHECK(handed_on == 11); // up to half of the wait here
-    loads.learn(1, {100ms, start - 1ms});
+    loads.learn(1, {100ms, 0ms, start - 1ms});
     CHECK_FALSE(loads.better_than(start, 1000ms, {1}, 50ms));
-    loads.learn(1, {100ms, start + 1ms});
+    loads.learn(1, {100ms, 0ms, start + 1ms});
     CHECK(loads.better_than(start, 1000ms, {1}, 50ms) == 1);
 }
 
@@ -65,7 +73,7 @@
                 for (int i = 0; i < 3; ++i)
                     each.learn(i, {std::chrono::round<milliseconds>(std::chrono::duration<double>{
                                        waiting.at(static_cast<std::size_t>(i))}),
-                                   at});
+                                   0ms, at});
             }
         }
         for (std::size_t home = 0; home < 3; ++home) {
