--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -432,7 +432,7 @@
     }
 
     partition_load load_at(instant at) const {
-        return {m_engine->wait_for_room(at), m_engine->longest_gang_wait(at), m_engine->usable_cpu_milli(at)};
+        return {m_engine->wait_for_room(at), m_engine->wait_of_gangs(at), m_engine->usable_cpu_milli(at)};
     }
 
     /// What is answered once all of the job is durable.
--- a/src/cell/partition_loads.h
+++ b/src/cell/partition_loads.h
@@ -13,7 +13,7 @@
 /// How full a partition is.
 struct partition_load {
     milliseconds wait{0};       ///< a new job's for room; 0 while there is some
-    milliseconds gang_wait{0};  ///< of the gang that has waited longest for room
+    milliseconds gang_wait{0};  ///< a new gang's for those that wait for room
     std::int64_t cpu_milli = 0; ///< of the targets in use
 };
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -187,8 +187,9 @@
     void moved(instant at, const std::string& job, bool recorded);
     /// Whether the job is on its way to another partition.
     [[nodiscard]] bool moving(const std::string& job) const { return m_moving.contains(job); }
-    /// How long the gang that waits longest for room has waited.
-    [[nodiscard]] milliseconds longest_gang_wait(instant at) const;
+    /// How long a new gang would wait for those that wait for room: by what the longest has waited, or by their
+    /// work if that is more.
+    [[nodiscard]] milliseconds wait_of_gangs(instant at) const;
     /// How long a new job waits for room while others of its team don't wait for its limit; 0 while there is
     /// room.
     [[nodiscard]] milliseconds wait_for_room(instant at) const;
--- a/src/jobs/engine_moves.cpp
+++ b/src/jobs/engine_moves.cpp
@@ -59,15 +59,28 @@
     return found;
 }
 
-milliseconds job_engine::longest_gang_wait(instant at) const {
+milliseconds job_engine::wait_of_gangs(instant at) const {
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(usable_cpu_milli(at), 1));
     milliseconds longest{0};
+    std::chrono::duration<double, std::milli> work{0};
     for (const auto& id : m_open) {
         const auto& job = m_jobs.at(id);
-        const auto& steps = job.spec.steps();
-        if (std::any_of(steps.begin(), steps.end(), [](const pb::step_spec& step) { return step.gang(); }))
-            longest = std::max(longest, wait_for_targets(at, job));
+        const auto share = m_good_share.find(job.queue);
+        const auto good = share == m_good_share.end() ? 1.0 : share->second.value();
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (int i = 0; i < job.spec.steps_size(); ++i) {
+                const auto& spec = job.spec.steps(i);
+                const auto& wait = occurrence.steps[static_cast<std::size_t>(i)].wait;
+                if (!spec.gang() || !lacks_targets(wait.cause()))
+                    continue;
+                longest = std::max(longest, wait.total(at));
+                const auto part =
+                    static_cast<double>(spec.count() * spec.need().cpu_milli()) / (capacity * good);
+                work += milliseconds{spec.estimate_ms()} * std::min(part, 1.0);
+            }
+        }
     }
-    return longest;
+    return std::max(longest, std::chrono::round<milliseconds>(work));
 }
 
 void job_engine::move(instant at, const std::string& id, int partition) {
