Keep targets for the gang for which they are freed, and move only jobs of teams far from their limit

A gang of 33 tasks stopped 169: its targets were chosen anew in each pass, and urgent work whose turn is before took what had been freed. And jobs moved away from the partition that has their team's limit, and waited for a part of it elsewhere.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -187,8 +187,8 @@
     void moved(instant at, const std::string& job, bool recorded);
     /// Whether the job is on its way to another partition.
     [[nodiscard]] bool moving(const std::string& job) const { return m_moving.contains(job); }
-    /// How long a new gang would wait for those that wait for room: by what the longest has waited, or by their
-    /// work if that is more.
+    /// How long a new gang would wait for those that wait for room: by what the longest has waited, or by
+    /// their work if that is more.
     [[nodiscard]] milliseconds wait_of_gangs(instant at) const;
     /// How long a new job waits for room while others of its team don't wait for its limit; 0 while there is
     /// room.
@@ -273,6 +273,9 @@
         std::vector<int> gang_failed_runs;
         std::string gang_saved;
         step_advice advice;
+        /// Of a gang: the targets where room is being made for it, and how long they are kept for it.
+        std::set<std::string> kept_targets;
+        instant kept_until{};
         step_wait wait;
         bool wait_noted = false; ///< that it waits past its worth, for the log
     };
@@ -376,6 +379,11 @@
     /// Holds back room for all of a gang, which it stops other work to get, and asks for the tickets that it
     /// lacks there. False, without any change, when there can't be enough.
     bool make_room(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved);
+    /// Whether the target is kept for another step.
+    [[nodiscard]] bool kept_for_other(const target_state& target, const step_state& step) const;
+    /// Where the gang finds room on these targets; empty when it doesn't.
+    [[nodiscard]] std::vector<gang_place> find_room(instant at, const ready_step& ready,
+                                                    const std::vector<target_state*>& targets) const;
     [[nodiscard]] gang_offer offer_of(instant at, const ready_step& ready, const target_state& target) const;
     [[nodiscard]] static bool may_yield(instant at, const live_run& run, int priority);
     /// Stops a run so that `job` gets its room.
@@ -514,6 +522,7 @@
     instant m_pass_after{};    ///< no pass before that
     int m_reserving = 0;       ///< gangs that hold targets back in this pass until these fall empty
     bool m_work_waits = false; ///< something that can be in time found no room in this pass
+    std::map<std::string, const step_state*> m_kept; ///< targets that are kept for a gang in this pass
 
     bool m_stops = false;  ///< a stop may be due
     bool m_changed = true; ///< something that may let a step be placed
--- a/src/jobs/engine_gangs.cpp
+++ b/src/jobs/engine_gangs.cpp
@@ -13,6 +13,8 @@
 /// A run that is stopped for more urgent work has at least this long to find room again before its job is
 /// late.
 constexpr milliseconds least_slack{4000};
+/// Targets are kept for a gang for this long while others end there, and it asks for tickets.
+constexpr milliseconds longest_making_room{2000};
 /// Runs of one task that are stopped for more urgent work.
 constexpr int most_yields = 2;
 
@@ -97,34 +99,59 @@
     return offer;
 }
 
-bool job_engine::make_room(instant at, const ready_step& ready, bool advised,
-                           std::set<std::string>& reserved) {
+bool job_engine::kept_for_other(const target_state& target, const step_state& step) const {
+    const auto kept = m_kept.find(target.entry.id);
+    return kept != m_kept.end() && kept->second != &step;
+}
+
+std::vector<gang_place> job_engine::find_room(instant at, const ready_step& ready,
+                                              const std::vector<target_state*>& targets) const {
     const auto& spec = ready.job->spec.steps(ready.step);
-    const auto& step = step_of(ready);
     const auto most = spec.max_per_target() > 0 ? spec.max_per_target() : spec.count();
     std::map<std::string, std::vector<gang_offer>> groups;
-    for (const auto* target : suitable_targets(at, ready)) {
-        if (!reserved.contains(target->entry.id) && (!advised || step.advice.good(target->entry.id)))
-            groups[spec.same_rack() ? target->entry.rack : std::string{}].push_back(
-                offer_of(at, ready, *target));
-    }
+    for (const auto* target : targets)
+        groups[spec.same_rack() ? target->entry.rack : std::string{}].push_back(offer_of(at, ready, *target));
     for (const auto& [rack, offers] : groups) {
-        const auto places = find_gang_room(need_of(spec), spec.count(), most, offers);
-        if (!places)
-            continue;
-        std::vector<target_state*> targets;
-        for (const auto& place : *places) {
-            auto& target = m_targets.at(std::string{place.target});
-            targets.push_back(&target);
-            reserved.insert(target.entry.id);
-            for (const auto task : place.stops)
-                yield_run(target, task, ready.job->spec.id());
-        }
-        if (advised)
-            (void)ask_about(at, ready, targets);
-        return true;
+        if (auto places = find_gang_room(need_of(spec), spec.count(), most, offers))
+            return std::move(*places);
+    }
+    return {};
+}
+
+bool job_engine::make_room(instant at, const ready_step& ready, bool advised,
+                           std::set<std::string>& reserved) {
+    auto& step = step_of(ready);
+    auto targets = suitable_targets(at, ready);
+    std::erase_if(targets, [&](const target_state* target) {
+        const auto& id = target->entry.id;
+        return reserved.contains(id) || kept_for_other(*target, step) || (advised && !step.advice.good(id));
+    });
+    auto kept = targets;
+    std::erase_if(kept, [&](const target_state* target) {
+        return at >= step.kept_until || !step.kept_targets.contains(target->entry.id);
+    });
+    auto places = find_room(at, ready, kept);
+    if (places.empty()) {
+        places = find_room(at, ready, targets);
+        step.kept_until = at + longest_making_room;
+        step.kept_targets.clear();
+    }
+    if (places.empty()) {
+        step.kept_until = {};
+        return false;
     }
-    return false;
+    std::vector<target_state*> used;
+    for (const auto& place : places) {
+        auto& target = m_targets.at(std::string{place.target});
+        used.push_back(&target);
+        reserved.insert(target.entry.id);
+        step.kept_targets.insert(target.entry.id);
+        for (const auto task : place.stops)
+            yield_run(target, task, ready.job->spec.id());
+    }
+    if (advised)
+        (void)ask_about(at, ready, used);
+    return true;
 }
 
 bool job_engine::reserve(instant at, const ready_step& ready, bool advised, std::set<std::string>& reserved) {
--- a/src/jobs/engine_moves.cpp
+++ b/src/jobs/engine_moves.cpp
@@ -47,7 +47,8 @@
     std::vector<std::pair<milliseconds, const pb::job_spec*>> found;
     for (const auto& id : m_open) {
         const auto& job = m_jobs.at(id);
-        if (job.spec.moved() || m_doubt)
+        // Elsewhere a team that is near its limit would wait for a part of that.
+        if (job.spec.moved() || m_doubt || !far_from_cap(job.team))
             continue;
         const auto wait = wait_for_targets(at, job);
         if (wait >= least_wait_to_move && never_started(job) && may_run_anywhere(job.spec))
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -48,6 +48,15 @@
     std::ranges::stable_sort(waiting, [&](const ready_step& left, const ready_step& right) {
         return goes_before(at, *left.turn, *right.turn);
     });
+    // What was freed for a gang isn't for those whose turn is before its own, or it would be freed again.
+    m_kept.clear();
+    for (const auto& ready : waiting) {
+        const auto& step = step_of(ready);
+        if (at < step.kept_until) {
+            for (const auto& target : step.kept_targets)
+                m_kept.emplace(target, &step);
+        }
+    }
     std::set<std::string> reserved;
     m_reserving = 0;
     m_work_waits = false;
@@ -171,8 +180,10 @@
         return wait_cause::limit;
     auto all = candidates(at, ready);
     const bool any_room = !all.empty();
-    std::erase_if(all, [&](const target_state* target) { return reserved.contains(target->entry.id); });
     const auto& step = step_of(ready);
+    std::erase_if(all, [&](const target_state* target) {
+        return reserved.contains(target->entry.id) || kept_for_other(*target, step);
+    });
     const bool advised = queue->second.advice.has_value();
     auto allowed = all;
     if (advised) {
--- a/test/divided_cell_test.cpp
+++ b/test/divided_cell_test.cpp
@@ -112,6 +112,13 @@
             true},
         row{"moved before",
             [&](job_world& world) { world.submit_handed_on(job_with([](pb::step_spec&) {}), false); }, false},
+        row{"its team is near its limit",
+            [&](job_world& world) {
+                world.set_config(
+                    [](cell_config& config) { config.teams.at("orchard").cap.cpu_milli = 20'000; });
+                world.submit(job_with([](pb::step_spec&) {}));
+            },
+            false},
         row{"needs a label",
             [&](job_world& world) {
                 world.submit(job_with([](pb::step_spec& step) { step.set_required_label("a"); }));
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -45,6 +45,10 @@
     queue.service = "orders";
     queue.max_attempts = 3;
     m_config->queues[queue.name] = queue;
+    queue.name = "bulk";
+    queue.priority = 2;
+    queue.latency_goal = 30s;
+    m_config->queues[queue.name] = queue;
     team_policy team;
     team.name = "orchard";
     m_config->teams[team.name] = team;
@@ -373,7 +377,14 @@
     case 5: {
         auto step = simple_step(1 + static_cast<int>(pick(3)), 1000);
         step.set_gang(pick(3) == 0);
-        submit(simple_job("j" + std::to_string(m_submitted.size()), {step}));
+        auto job = simple_job("j" + std::to_string(m_submitted.size()), {step});
+        if (pick(2) == 0) { // gives way to gangs
+            job.set_queue("bulk");
+            job.mutable_steps(0)->set_gang(false);
+            job.mutable_steps(0)->set_count(6);
+            job.mutable_steps(0)->set_checkpoint(true);
+        }
+        submit(std::move(job));
         break;
     }
     case 6: // The table is slow.
