Let work that can't end in time any more go after work that can

Cause (hypothesis of the incident: the order of turns spends room on what is late): a waiting step counted as in time until its job's latest end that is in time, and the earliest went first, so that with more work than fits each job was started just too late. It counts as late now once its estimates say that it can't end in time, with 100 ms for orders and ends on their way; the least slack goes first.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -9,23 +9,30 @@
 constexpr milliseconds pass_period{100};
 /// An end later than this many times the goal is worth nothing more.
 constexpr int hopeless_factor = 3;
+/// From a decision to the start, and from an end until it is known.
+constexpr milliseconds order_time{100};
 /// Below this part of their processors in use, targets have room for what comes.
 constexpr double full_share = 0.6;
 /// The wait while no target can be used.
 constexpr milliseconds no_target_wait{60'000};
 
+/// For each step, the longest chain of estimates from its start to the job's end.
+std::vector<milliseconds> chains_of(const pb::job_spec& spec) {
+    std::vector<milliseconds> chains(static_cast<std::size_t>(spec.steps_size()));
+    for (int i = spec.steps_size() - 1; i >= 0; --i) {
+        auto& chain = chains[static_cast<std::size_t>(i)];
+        chain += milliseconds{spec.steps(i).estimate_ms()};
+        for (const auto earlier : spec.steps(i).after()) {
+            auto& before = chains[static_cast<std::size_t>(earlier)];
+            before = std::max(before, chain);
+        }
+    }
+    return chains;
+}
+
 /// The longest chain of estimates through a job's steps.
 milliseconds chain_of(const pb::job_spec& spec) {
-    std::vector<std::int64_t> ends;
-    std::int64_t longest = 0;
-    for (const auto& step : spec.steps()) {
-        std::int64_t begin = 0;
-        for (const auto earlier : step.after())
-            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-        ends.push_back(begin + step.estimate_ms());
-        longest = std::max(longest, ends.back());
-    }
-    return milliseconds{longest};
+    return std::ranges::max(chains_of(spec));
 }
 
 } // namespace
@@ -253,10 +260,14 @@
     }
     const auto queue = m_config->queues.find(job.queue);
     const auto allowed = allowance_of(spec);
-    made.turn.beyond_rate = job.beyond_rate;
-    made.turn.priority = queue == m_config->queues.end() ? 0 : queue->second.priority;
-    made.turn.due = at + allowed;
-    made.turn.hopeless = at + hopeless_factor * allowed;
+    const auto chains = chains_of(spec);
+    for (std::size_t i = 0; i < made.steps.size(); ++i) {
+        auto& turn = made.steps[i].turn;
+        turn.beyond_rate = job.beyond_rate;
+        turn.priority = queue == m_config->queues.end() ? 0 : queue->second.priority;
+        turn.due = at + allowed - chains[i] - order_time;
+        turn.hopeless = at + hopeless_factor * allowed - chains[i] - order_time;
+    }
     set_ready(job, number);
 }
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -270,6 +270,7 @@
         std::vector<task_state> tasks;
         std::size_t open = 0; ///< tasks not done
         bool ready = false;
+        waiting_step turn;
         std::vector<int> gang_failed_runs;
         std::string gang_saved;
         step_advice advice;
@@ -283,7 +284,6 @@
     struct occurrence_state {
         std::vector<step_state> steps;
         std::size_t open = 0; ///< steps not done
-        waiting_step turn;
     };
 
     struct job_state {
--- a/src/jobs/engine_gangs.cpp
+++ b/src/jobs/engine_gangs.cpp
@@ -65,8 +65,8 @@
 bool job_engine::may_yield(instant at, const live_run& run, int priority) {
     if (!run.yields || run.stop_wanted || run.phase != run_phase::running || run.yields->priority <= priority)
         return false;
-    const bool late = at > run.yields->due;
-    return late || at + run.yields->estimate + least_slack <= run.yields->due;
+    const bool late = at > run.yields->due + run.yields->estimate;
+    return late || at + least_slack <= run.yields->due;
 }
 
 std::optional<yield_terms> job_engine::terms_of(const ready_step& ready, const task_state& task) const {
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -88,7 +88,7 @@
                 const auto& step = occurrence.steps[i];
                 if (!step.ready || step.open == 0 || count_queued(step) == 0)
                     continue;
-                const ready_step ready{&job, number, static_cast<int>(i), &occurrence.turn};
+                const ready_step ready{&job, number, static_cast<int>(i), &step.turn};
                 if (job.doubtful)
                     note_wait(at, ready, wait_cause::runs_unknown);
                 else if (writes_stuck && job.durable == 0)
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -405,8 +405,7 @@
     adopted.placed = adopted.confirmed = at;
     adopted.saved = run.saved;
     adopted.worked = run.usage > 0;
-    adopted.yields =
-        terms_of({job, name.occurrence, name.step, &job->occurrences.at(name.occurrence).turn}, task);
+    adopted.yields = terms_of({job, name.occurrence, name.step, &step->turn}, task);
     target.held += adopted.held;
     m_held[job->team] += adopted.held;
     task.on.push_back(target.entry.id);
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -19,7 +19,7 @@
 /// A run that keeps what it has done when it is stopped may be stopped for more urgent work.
 struct yield_terms {
     int priority = 0; ///< of its queue; 0 is the most urgent
-    instant due{};    ///< the latest end of its job that is in time
+    instant due{};    ///< the latest start with an end that is in time
     milliseconds estimate{0};
 };
 
--- a/src/jobs/waiting_order.h
+++ b/src/jobs/waiting_order.h
@@ -10,8 +10,8 @@
 struct waiting_step {
     bool beyond_rate = false; ///< its team sent more than its share
     int priority = 0;         ///< of the queue; 0 goes first
-    instant due{};            ///< the latest end that is in time
-    instant hopeless{};       ///< an end after this is worth nothing more
+    instant due{};            ///< the latest start with an end that is in time, by the estimates
+    instant hopeless{};       ///< after a start later than this the end is worth nothing more
 };
 
 /// Answers a full fleet: within its team's share goes first, then priority, then what can still be in time
