Look for causes of waits and for room of gangs at most so often

Looks at all targets for each waiting step and pass are apart in time now: for the cause 0.2 s, for room that wasn't there 60 ms, for work to give way under a team's limit 0.1 s.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -243,9 +243,11 @@
         outbox out;
         {
             const std::lock_guard lock{m_mutex};
+            const auto began = std::chrono::steady_clock::now();
             const auto at = now();
             body(at);
             collect(at, out);
+            m_deciding += std::chrono::steady_clock::now() - began;
         }
         flush(out);
     }
@@ -483,18 +485,20 @@
     void report() {
         const auto now_held = m_engine->count();
         const auto text = [](auto number) { return std::to_string(number); };
-        log_event(log_level::info, "partition_load",
-                  {{"partition", text(m_options.number)},
-                   {"epoch", text(m_epoch)},
-                   {"open_jobs", text(now_held.open_jobs)},
-                   {"kept_jobs", text(now_held.kept_jobs)},
-                   {"waiting_tasks", text(now_held.waiting_tasks)},
-                   {"live_runs", text(now_held.live_runs)},
-                   {"held_cpu_milli", text(now_held.held_cpu_milli)},
-                   {"capacity_cpu_milli", text(now_held.capacity_cpu_milli)},
-                   {"round_trip_ms", text(m_gate.late().count())},
-                   {"limiting", m_gate.limiting() ? "true" : "false"},
-                   {"callers", text(m_waiters.size())}});
+        log_event(
+            log_level::info, "partition_load",
+            {{"partition", text(m_options.number)},
+             {"epoch", text(m_epoch)},
+             {"open_jobs", text(now_held.open_jobs)},
+             {"kept_jobs", text(now_held.kept_jobs)},
+             {"waiting_tasks", text(now_held.waiting_tasks)},
+             {"live_runs", text(now_held.live_runs)},
+             {"held_cpu_milli", text(now_held.held_cpu_milli)},
+             {"capacity_cpu_milli", text(now_held.capacity_cpu_milli)},
+             {"deciding_ms", text(std::chrono::round<milliseconds>(std::exchange(m_deciding, {})).count())},
+             {"round_trip_ms", text(m_gate.late().count())},
+             {"limiting", m_gate.limiting() ? "true" : "false"},
+             {"callers", text(m_waiters.size())}});
         m_environment.counters->set("open_jobs", static_cast<double>(now_held.open_jobs));
         m_environment.counters->set("waiting_tasks", static_cast<double>(now_held.waiting_tasks));
         m_environment.counters->set("held_cores", static_cast<double>(now_held.held_cpu_milli) / 1000);
@@ -721,7 +725,8 @@
     milliseconds m_confirmed{0}; ///< boot time
     bool m_confirm_needed = false;
     overload_gate m_gate;
-    call_patience m_patience; ///< for starts
+    call_patience m_patience;               ///< for starts
+    std::chrono::nanoseconds m_deciding{0}; ///< time in the engine since the last report
     instant m_next_report{};
     instant m_next_move{};
     instant m_failing_since{};
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -277,6 +277,8 @@
         /// Of a gang: the targets where room is being made for it, and how long they are kept for it.
         std::set<std::string> kept_targets;
         instant kept_until{};
+        instant next_try{};   ///< to make room, after a vain one
+        instant next_cause{}; ///< when it is looked again why there is no room
         step_wait wait;
         bool wait_noted = false; ///< that it waits past its worth, for the log
     };
@@ -419,6 +421,7 @@
     [[nodiscard]] std::string describe_cause(const ready_step& ready, wait_cause cause) const;
     wait_cause schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
     wait_cause cause_of_no_room(instant at, const ready_step& ready, bool advised);
+    wait_cause look_for_cause(instant at, const ready_step& ready, bool advised);
     /// Places as many tasks of a step on the allowed targets as there is room for.
     wait_cause place_tasks(instant at, const ready_step& ready, const std::vector<target_state*>& allowed);
     target_state* best_target(const ready_step& ready, const task_state& task,
@@ -474,6 +477,7 @@
         resources next; ///< what the first work in the order of turns needs at once
         resources more;
     };
+    std::map<std::string, instant> m_next_yield; ///< by team
     std::map<std::string, held_back> m_over_cap; ///< by team, in the last pass
     /// By team, what a gang needs that waits for room and not for the limit. Its part of the limit is kept,
     /// or another partition would have it by the time that there is room.
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -11,6 +11,8 @@
 
 /// From here on a partition has a limit to itself.
 constexpr double whole_share = 0.999;
+/// Between looks at what of a team's work could give way under its limit.
+constexpr milliseconds yield_period{100};
 /// Of its limit, what a team uses at most while it is far from it.
 constexpr double used_far_from_cap = 0.5;
 
@@ -98,9 +100,11 @@
 }
 
 void job_engine::yield_under_cap(instant at, const ready_step& ready, const resources& unit) {
-    if (at > ready.turn->hopeless)
-        return;
     const auto& team = ready.job->team;
+    auto& next = m_next_yield[team];
+    if (at > ready.turn->hopeless || at < next)
+        return;
+    next = at + yield_period;
     resources gone; // by runs that are being stopped
     std::vector<std::pair<target_state*, const live_run*>> able;
     for (auto& [id, target] : m_targets) {
--- a/src/jobs/engine_gangs.cpp
+++ b/src/jobs/engine_gangs.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds least_slack{4000};
 /// Targets are kept for a gang for this long while others end there, and it asks for tickets.
 constexpr milliseconds longest_making_room{2000};
+constexpr milliseconds vain_try_pause{60};
 /// Runs of one task that are stopped for more urgent work.
 constexpr int most_yields = 2;
 
@@ -121,10 +122,12 @@
 bool job_engine::make_room(instant at, const ready_step& ready, bool advised,
                            std::set<std::string>& reserved) {
     auto& step = step_of(ready);
+    if (at < step.next_try)
+        return false;
     auto targets = suitable_targets(at, ready);
     std::erase_if(targets, [&](const target_state* target) {
         const auto& id = target->entry.id;
-        return reserved.contains(id) || kept_for_other(*target, step) || (advised && !step.advice.good(id));
+        return (advised && !step.advice.good(id)) || reserved.contains(id) || kept_for_other(*target, step);
     });
     auto kept = targets;
     std::erase_if(kept, [&](const target_state* target) {
@@ -138,6 +141,7 @@
     }
     if (places.empty()) {
         step.kept_until = {};
+        step.next_try = at + vain_try_pause;
         return false;
     }
     std::vector<target_state*> used;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds crowded_pass_spacing{20};
 /// A write that is out for longer holds the jobs in it back from passes, so that others get their turn.
 constexpr milliseconds longest_usual_write{300};
+/// Between looks at all targets for the cause of one step's wait.
+constexpr milliseconds cause_period{200};
 /// A wait from here on is told in the log once it is over.
 constexpr milliseconds notable_wait{500};
 
@@ -212,6 +214,17 @@
 }
 
 wait_cause job_engine::cause_of_no_room(instant at, const ready_step& ready, bool advised) {
+    auto& step = step_of(ready);
+    const auto known = step.wait.cause();
+    const bool found_here = known == wait_cause::room || known == wait_cause::advice ||
+                            known == wait_cause::good_targets || known == wait_cause::no_target;
+    if (at < step.next_cause && found_here)
+        return known;
+    step.next_cause = at + cause_period;
+    return look_for_cause(at, ready, advised);
+}
+
+wait_cause job_engine::look_for_cause(instant at, const ready_step& ready, bool advised) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto& step = step_of(ready);
     const auto targets = suitable_targets(at, ready);
