--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -135,7 +135,7 @@
 std::string job_engine::describe_cause(const ready_step& ready, wait_cause cause) const {
     if (cause == wait_cause::none)
         return {};
-    const auto text = "; now for " + std::string{name_of(cause)};
+    auto text = "; now for " + std::string{name_of(cause)};
     const auto& spec = ready.job->spec.steps(ready.step);
     if (cause == wait_cause::limit)
         return text + ", " +
--- a/src/jobs/gang_room.cpp
+++ b/src/jobs/gang_room.cpp
@@ -76,6 +76,7 @@
                                                       std::int64_t most_on_one,
                                                       const std::vector<gang_offer>& offers) {
     std::vector<std::vector<room_part>> parts;
+    parts.reserve(offers.size());
     std::priority_queue<room_part, std::vector<room_part>, decltype(&is_worse)> best{&is_worse};
     for (std::size_t i = 0; i < offers.size(); ++i) {
         parts.push_back(parts_of(offers[i], i, need, most_on_one));
