--- a/src/jobs/gang_room.cpp
+++ b/src/jobs/gang_room.cpp
@@ -79,9 +79,9 @@
     parts.reserve(offers.size());
     std::priority_queue<room_part, std::vector<room_part>, decltype(&is_worse)> best{&is_worse};
     for (std::size_t i = 0; i < offers.size(); ++i) {
-        parts.push_back(parts_of(offers[i], i, need, most_on_one));
-        if (!parts.back().empty())
-            best.push(parts.back().front());
+        const auto& added = parts.emplace_back(parts_of(offers[i], i, need, most_on_one));
+        if (!added.empty())
+            best.push(added.front());
     }
     std::map<std::size_t, gang_place> places;
     while (count > 0 && !best.empty()) {
@@ -97,6 +97,7 @@
     if (count > 0)
         return {};
     std::vector<gang_place> found;
+    found.reserve(places.size());
     for (auto& [offer, place] : places)
         found.push_back(std::move(place));
     return found;
