--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -91,10 +91,11 @@
 }
 
 bool job_engine::waits_behind_cap(instant at, const ready_step& ready, const resources& unit) {
-    if (within_cap(ready.job->team, unit) && !m_over_cap.contains(ready.job->team))
-        return false;
-    if (!m_over_cap.contains(ready.job->team))
+    if (!m_over_cap.contains(ready.job->team)) {
+        if (within_cap(ready.job->team, unit))
+            return false;
         yield_under_cap(at, ready, unit);
+    }
     note_over_cap(ready, unit, at > ready.turn->hopeless);
     return true;
 }
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -12,8 +12,9 @@
 constexpr int runs_per_epoch = 1000;
 /// A pass ends after this many steps that found no room.
 constexpr std::size_t fruitless_most = 40;
-/// Between passes when that many steps wait, and less in proportion when fewer do.
-constexpr milliseconds crowded_pass_spacing{20};
+/// Passes keep apart by this for each step that waits, since each looks at all of them, and by this at most.
+constexpr std::chrono::microseconds pass_spacing{500};
+constexpr milliseconds longest_pass_spacing{60};
 /// A write that is out for longer holds the jobs in it back from passes, so that others get their turn.
 constexpr milliseconds longest_usual_write{300};
 /// Between looks at all targets for the cause of one step's wait.
@@ -74,8 +75,8 @@
             m_work_waits || (cause != wait_cause::none && !held_by_others && at <= ready.turn->hopeless);
         note_wait(at, ready, cause);
     }
-    const auto crowd = std::min(waiting.size(), fruitless_most);
-    m_pass_after = at + crowded_pass_spacing * crowd / fruitless_most;
+    const auto spacing = std::chrono::floor<milliseconds>(pass_spacing * waiting.size());
+    m_pass_after = at + std::min(spacing, longest_pass_spacing);
 }
 
 std::vector<job_engine::ready_step> job_engine::collect_waiting(instant at) {
