--- a/src/jobs/engine_moves.cpp
+++ b/src/jobs/engine_moves.cpp
@@ -127,7 +127,7 @@
         found->second = at + move_retry;
         return;
     }
-    note("job_moved", id, "to partition " + std::to_string(m_jobs.at(id).partition));
+    note("job_moved", id, "by partition " + std::to_string(m_jobs.at(id).partition));
     m_moving.erase(found);
     touch(at, m_jobs.at(id), false);
 }
