--- a/src/cell/cell_layout.cpp
+++ b/src/cell/cell_layout.cpp
@@ -13,9 +13,7 @@
 
 namespace {
 
-constexpr std::size_t targets_per_partition = 130;
-/// Below this many one partition still serves all.
-constexpr std::size_t most_in_one = 160;
+constexpr std::size_t targets_per_partition = 180;
 constexpr int most_partitions = 1000;
 /// Partitions to which one team's jobs are handed on.
 constexpr std::size_t most_alternates = 2;
@@ -48,9 +46,8 @@
 } // namespace
 
 int partitions_for(std::size_t targets) {
-    if (targets <= most_in_one)
-        return 1;
-    return static_cast<int>((targets + targets_per_partition - 1) / targets_per_partition);
+    const auto needed = (targets + targets_per_partition - 1) / targets_per_partition;
+    return static_cast<int>(std::max<std::size_t>(needed, 1));
 }
 
 cell_layout layout_for(const std::vector<target_entry>& targets, int partitions) {
