--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -19,6 +19,17 @@
         world.starts(), [&](const std::string& each) { return each.starts_with(prefix); }));
 }
 
+/// Beside the usual queue, which gets priority 1, one for other work.
+void add_bulk_queue(cell_config& config, int priority, milliseconds goal) {
+    auto& queue = config.queues.at("checks");
+    queue.priority = 1;
+    queue.latency_goal = 10s;
+    auto bulk = queue;
+    bulk.priority = priority;
+    bulk.latency_goal = goal;
+    config.queues["bulk"] = bulk;
+}
+
 } // namespace
 
 TEST_CASE("a job runs each of its tasks once and ends", "[engine]") {
@@ -1063,14 +1074,7 @@
         row{"serves its own users", [](pb::step_spec& step) { step.set_long_running(true); }, 2, 20s, false});
     INFO(each.name);
     job_world world{{.targets = 4, .work = 8s}, 53};
-    world.set_config([&](cell_config& config) {
-        auto& queue = config.queues.at("checks");
-        queue.priority = 1;
-        queue.latency_goal = 10s;
-        config.queues["bulk"] = queue;
-        config.queues["bulk"].priority = each.priority;
-        config.queues["bulk"].latency_goal = each.goal;
-    });
+    world.set_config([&](cell_config& config) { add_bulk_queue(config, each.priority, each.goal); });
     auto small = simple_step(16, 1000);
     small.set_checkpoint(true);
     each.change(small);
@@ -1159,12 +1163,7 @@
     INFO(each.name);
     job_world world{{.targets = 8, .work = 8s}, 55};
     world.set_config([&](cell_config& config) {
-        auto& queue = config.queues.at("checks");
-        queue.priority = 1;
-        queue.latency_goal = 10s;
-        config.queues["bulk"] = queue;
-        config.queues["bulk"].priority = each.priority;
-        config.queues["bulk"].latency_goal = 20s;
+        add_bulk_queue(config, each.priority, 20s);
         config.teams.at("orchard").cap.cpu_milli = 10'000;
     });
     auto small = simple_step(10, 1000);
