Give a gang the last hundredth of its part of a limit

Cause: changes of a part of a limit below 0.01 weren't written, and a partition that lacked less counted as lacking nothing; held 0.49 of 0.505 and needed 0.50 of 0.495 stood still from 37 s to the end, with a tenth of the fleet in use. What another partition holds was written from a change of 0.05 on, so that a lack of less than that lasted too. Evidence: 'it needs 50 %, 0 % of 49 % are held here' in a play with logs, and no cap_share line of that team for 15 s. Change: whatever lets the next work start is written, however little. The new tests failed on 5 + 1 cases before.

--- a/src/jobs/cap_division.cpp
+++ b/src/jobs/cap_division.cpp
@@ -3,16 +3,19 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace medlarhub {
 
 namespace {
 
-/// Changes below this part of the limit aren't written.
+/// Changes below this part of the limit aren't written, unless they let work start.
 constexpr double least_change = 0.01;
 /// Nor are changes of what is held below this.
 constexpr double held_change = 0.05;
+/// Of sums of parts.
+constexpr double rounding = 1e-9;
 
 bool near(double left, double right, double tolerance) {
     return std::abs(left - right) < tolerance;
@@ -48,6 +51,26 @@
     return goal;
 }
 
+/// What the partition is to have for its next work to start; 0 when none waits.
+double needed(const pb::cap_part& part) {
+    return part.turn() > 0 ? part.held() + part.next() : 0;
+}
+
+bool lacks(const pb::cap_part& part) {
+    return part.share() + rounding < needed(part);
+}
+
+/// The partitions that lack something for their next work and are to have all of it.
+std::set<int> starting(const pb::cap_division& row) {
+    const auto goal = goals(row);
+    std::set<int> found;
+    for (const auto& [number, part] : row.parts()) {
+        if (lacks(part) && goal.at(number) + rounding >= needed(part))
+            found.insert(number);
+    }
+    return found;
+}
+
 void take_turn(pb::cap_division& row, pb::cap_part& mine, const pb::cap_part& before, const cap_want& want) {
     if (want.next <= 0) {
         mine.set_turn(0);
@@ -84,8 +107,10 @@
     mine.set_more(std::min(want.more, 1.0));
     take_turn(next, mine, before, want);
     const auto goal = goals(next);
+    auto others_start = starting(next);
+    others_start.erase(number);
     double others = 0;
-    bool others_lack = false;
+    bool others_lack = !others_start.empty();
     for (const auto& [each, part] : parts) {
         if (each == number)
             continue;
@@ -98,8 +123,15 @@
         share = std::max(present, std::min(goal.at(number), 1 - others));
     else if (others_lack)
         share = std::max(goal.at(number), std::min(want.held, present));
+    const bool lacked = lacks(mine);
     mine.set_share(share);
-    if (!worth_writing(before, mine))
+    const bool starts_here = lacked && !lacks(mine);
+    // The others see what is held here, and how much they may have, only once it is written.
+    auto others_started = starting(row);
+    others_started.erase(number);
+    const bool gives_way =
+        others_started != others_start || (!others_start.empty() && share + rounding < present);
+    if (!starts_here && !gives_way && !worth_writing(before, mine))
         return {};
     return next;
 }
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -13,6 +13,8 @@
 constexpr double whole_share = 0.999;
 /// Between looks at what of a team's work could give way under its limit.
 constexpr milliseconds yield_period{100};
+/// A part of a limit is meant to be whole units of it; this much less is rounding.
+constexpr double unit_rounding = 0.01;
 /// Of its limit, what a team uses at most while it is far from it.
 constexpr double used_far_from_cap = 0.5;
 
@@ -54,7 +56,8 @@
     auto held = found == m_held.end() ? resources{} : found->second;
     held -= gone;
     const auto fits = [&](std::int64_t limit, std::int64_t used, std::int64_t more) {
-        const auto part = static_cast<std::int64_t>(static_cast<double>(limit) * share);
+        const auto part =
+            static_cast<std::int64_t>(std::floor(static_cast<double>(limit) * share + unit_rounding));
         // Work that is wider than the whole limit runs alone.
         const bool alone = used <= 0 && share >= whole_share;
         return limit <= 0 || more <= 0 || used + more <= part || alone;
--- a/test/cap_division_test.cpp
+++ b/test/cap_division_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <random>
 
 using namespace medlarhub;
@@ -125,6 +127,61 @@
     CHECK(after.parts().at(1).share() >= 0.6);
 }
 
+TEST_CASE("a gang that lacks hardly anything of its part of the limit gets that", "[caps][load]") {
+    struct row {
+        const char* name;
+        double first_share;
+        cap_want first;
+        cap_want second;
+    };
+    const auto given = GENERATE(row{"less than a hundredth", 0.505, {0.49, 0, 0}, {0, 0.5, 0}},
+                                row{"while the other one waits too", 0.505, {0.49, 0.48, 0.48}, {0, 0.5, 0}},
+                                row{"a thousandth", 0.301, {0.3, 0, 0.7}, {0.2, 0.5, 0.5}},
+                                row{"a millionth", 0.300001, {0.3, 0, 0}, {0, 0.7, 0}},
+                                row{"all of it", 0.005, {}, {0, 1, 0}});
+    INFO(given.name);
+    pb::cap_division row;
+    (*row.mutable_parts())[0].set_share(given.first_share);
+    (*row.mutable_parts())[1].set_share(1 - given.first_share);
+    // The second has waited longer.
+    for (int number = 1; number >= 0; --number) {
+        if (const auto next = divide_cap(row, number, 1, number == 1 ? given.second : given.first))
+            row = *next;
+    }
+    row = settle(row, {given.first, given.second});
+    constexpr double rounding = 1e-9;
+    CHECK(row.parts().at(1).share() >= given.second.held + given.second.next - rounding);
+}
+
+TEST_CASE("whoever waits longest for a part that is free gets all of it", "[caps][load]") {
+    std::mt19937_64 random{11};
+    constexpr int rounds = 300;
+    for (int i = 0; i < rounds; ++i) {
+        constexpr int partitions = 3;
+        std::vector<cap_want> wants(partitions);
+        std::array<double, partitions> cut{};
+        std::ranges::generate(cut, [&] { return std::uniform_real_distribution<double>{0, 1}(random); });
+        std::ranges::sort(cut);
+        auto row = usual(partitions);
+        for (int k = 0; k < partitions; ++k) {
+            const auto index = static_cast<std::size_t>(k);
+            wants[index].held = k == 0 ? cut[0] : cut[index] - cut[index - 1];
+            (*row.mutable_parts())[k].set_share(wants[index].held);
+        }
+        const auto free = 1 - cut.back();
+        const auto lucky = random() % partitions;
+        wants[lucky].next = free * static_cast<double>(random() % 4 + 1) / 4;
+        const auto taker = static_cast<int>(random() % partitions);
+        auto& idle = (*row.mutable_parts())[taker];
+        idle.set_share(idle.share() + free);
+        row = settle(row, wants);
+        constexpr double rounding = 1e-9;
+        INFO(i);
+        REQUIRE(row.parts().at(static_cast<int>(lucky)).share() >=
+                wants[lucky].held + wants[lucky].next - rounding);
+    }
+}
+
 TEST_CASE("a deposed owner changes nothing", "[caps]") {
     auto row = usual(2);
     row = *divide_cap(row, 0, 5, {0, 0.9, 0});
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -780,6 +780,20 @@
     CHECK(owner.starts() == 6);
 }
 
+TEST_CASE("a part of a limit that is just what the next work needs lets it start", "[engine][caps]") {
+    const auto cpu_milli = GENERATE(range(1, 40)) * 7;
+    divided_owner owner{64'000};
+    owner.accept(simple_job("j", {simple_step(9000 / cpu_milli, cpu_milli)}));
+    constexpr int looks = 20;
+    (void)owner.starts();
+    for (int started = 0; started < std::min(looks, 9000 / cpu_milli); ++started) {
+        const auto want = owner.engine().cap_wants().at("orchard");
+        owner.engine().set_team_parts({{"orchard", {want.held + want.next, 0}}});
+        INFO(started << " of " << cpu_milli);
+        REQUIRE(owner.starts() == 1);
+    }
+}
+
 TEST_CASE("a gang keeps its part of a limit while it waits for room", "[engine][caps]") {
     divided_owner owner{10'000};
     auto tea = simple_job("tea", {simple_step(8, 1000)});
