--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -144,7 +144,6 @@
 
     held_table rows;
     std::atomic<int> better{-1}; ///< the partition that new jobs are handed on to; none below 0
-    std::unique_ptr<owned_partition> owned;
 
 private:
     no_targets m_targets;
@@ -152,6 +151,9 @@
     std::mutex m_mutex; ///< guards what follows
     pb::job_call m_sent;
     std::vector<job_callback> m_elsewhere;
+
+public:
+    std::unique_ptr<owned_partition> owned; ///< its thread uses all of the above
 };
 
 } // namespace
