Ask for leases of 4.5 s wherever targets keep longer ones, and wait for the lease that owners before had

An owner before may have asked for longer ones, an earlier release or one with other settings, so the head row tells its lease and heirs wait for that, not for their own. Ruled out: slow takeovers (0.3 s).

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -402,7 +402,9 @@
     }
 
     std::optional<pb::partition_head> look(int number) {
-        return partition_rows{*m_ports.rows, number, m_view.owner_name(), m_options.peer_address}.look();
+        return partition_rows{*m_ports.rows, number, m_view.owner_name(), m_options.peer_address,
+                              m_options.longest_lease}
+            .look();
     }
 
     void learn_node(const table_row& row) {
@@ -549,7 +551,7 @@
         options.number = number;
         options.owner = m_view.owner_name();
         options.peer_address = m_options.peer_address;
-        options.lease = m_options.lease;
+        options.longest_lease = m_options.longest_lease;
         options.partitions = layout->partitions;
         partition_environment environment;
         environment.rows = m_ports.rows.get();
--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -20,7 +20,7 @@
     std::vector<std::string> seeds; ///< peer addresses of some other nodes; they may be stale
     std::int64_t cpu_milli = 1000;  ///< what the node may use of its processor
     int partitions = 0;             ///< 0: by the number of targets when the cell first starts
-    milliseconds lease{4500};
+    milliseconds longest_lease{6000}; ///< that targets keep
 };
 
 /// One node of a cell: it takes callers' jobs, finds the owner of each, and owns partitions when they are due
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/call_patience.h"
 #include "cell/clocks.h"
+#include "cell/lease.h"
 #include "cell/partition_rows.h"
 #include "jobs/overload_gate.h"
 #include "log.h"
@@ -65,8 +66,10 @@
 class owned_partition::impl : public std::enable_shared_from_this<impl> {
 public:
     impl(owned_partition_options options, partition_environment environment)
-        : m_options{std::move(options)}, m_environment{std::move(environment)},
-          m_rows{*m_environment.rows, m_options.number, m_options.owner, m_options.peer_address},
+        : m_options{std::move(options)},
+          m_environment{std::move(environment)}, m_rows{*m_environment.rows, m_options.number,
+                                                        m_options.owner, m_options.peer_address,
+                                                        m_options.longest_lease},
           m_guard{stall_tolerated} {}
 
     void start() {
@@ -578,9 +581,9 @@
             return false;
         engine_options options;
         options.epoch = *epoch;
-        options.lease = m_options.lease;
+        options.lease = lease_within(m_options.longest_lease);
         options.partitions = m_options.partitions;
-        const auto lapse = static_cast<double>(m_options.lease.count()) * lease_drift;
+        const auto lapse = static_cast<double>(m_rows.earlier_lease().count()) * lease_drift;
         // An earlier owner may command targets until it notices that it isn't the owner any more.
         options.unknown_runs = (m_rows.sole_owner() ? orders_on_the_way : confirm_bound) +
                                milliseconds{static_cast<std::int64_t>(lapse)};
@@ -604,6 +607,7 @@
                    {"epoch", std::to_string(*epoch)},
                    {"open", std::to_string(content->specs.size())},
                    {"kept", std::to_string(content->progress.size())},
+                   {"earlier_lease_ms", std::to_string(m_rows.earlier_lease().count())},
                    {"fence_ms", std::to_string((fenced - began).count())},
                    {"load_ms", std::to_string((now() - fenced).count())}});
         return true;
@@ -614,6 +618,8 @@
         {
             const std::lock_guard lock{m_mutex};
             rows = m_engine->take_rows(now());
+            if (m_engine->runs_known())
+                m_rows.forget_earlier_lease();
         }
         for (;;) {
             const auto sent = boot_time();
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -26,7 +26,7 @@
     int number = 0;
     std::string owner; ///< this node and its incarnation
     std::string peer_address;
-    milliseconds lease{4500};
+    milliseconds longest_lease{6000}; ///< that targets keep
     int partitions = 1; ///< of the cell
 };
 
--- a/src/cell/partition_rows.cpp
+++ b/src/cell/partition_rows.cpp
@@ -1,5 +1,7 @@
 #include "cell/partition_rows.h"
 
+#include "cell/lease.h"
+
 #include "medlarhub/reason.h"
 
 #include <charconv>
@@ -40,9 +42,10 @@
     return read.ec == std::errc{} && read.ptr == end ? std::optional{number} : std::nullopt;
 }
 
-partition_rows::partition_rows(table& rows, int partition, std::string owner, std::string peer_address)
+partition_rows::partition_rows(table& rows, int partition, std::string owner, std::string peer_address,
+                               milliseconds longest_lease)
     : m_rows{rows}, m_prefix{"p" + std::to_string(partition) + "/"}, m_owner{std::move(owner)},
-      m_peer_address{std::move(peer_address)} {}
+      m_peer_address{std::move(peer_address)}, m_longest_lease{longest_lease} {}
 
 std::string partition_rows::key(const char* kind, const std::string& name) const {
     return m_prefix + kind + "/" + name;
@@ -75,6 +78,8 @@
 std::optional<std::uint64_t> partition_rows::take() {
     if (!read_head(m_head, m_version))
         return {};
+    if (m_version != 0)
+        m_earlier_lease = m_head.lease_ms() > 0 ? milliseconds{m_head.lease_ms()} : m_longest_lease;
     auto next = m_head;
     m_sole_owner =
         m_head.owner().empty() || (m_head.owner() != m_owner && node_of(m_head.owner()) == node_of(m_owner));
@@ -95,6 +100,7 @@
 row_outcome partition_rows::commit(const pb::partition_head& from, std::vector<table_write> writes) {
     auto next = from;
     next.set_sequence(m_head.sequence() + 1);
+    next.set_lease_ms(std::max(lease_within(m_longest_lease), m_earlier_lease).count());
     table_write head{key(head_kind, head_name), next.SerializeAsString(),
                      m_version == 0 ? write_condition::absent : write_condition::version, m_version, false};
     writes.insert(writes.begin(), std::move(head));
--- a/src/cell/partition_rows.h
+++ b/src/cell/partition_rows.h
@@ -34,7 +34,8 @@
 /// change nothing. Calls block; one thread at a time.
 class partition_rows {
 public:
-    partition_rows(table& rows, int partition, std::string owner, std::string peer_address);
+    partition_rows(table& rows, int partition, std::string owner, std::string peer_address,
+                   milliseconds longest_lease);
 
     /// The head as it stands; empty owner when nobody owns the partition.
     [[nodiscard]] std::optional<pb::partition_head> look();
@@ -51,6 +52,10 @@
     /// Whether, at the last `take`, it was certain that no owner before commands targets any more: the last
     /// one gave the partition up, or was this node in a life before.
     [[nodiscard]] bool sole_owner() const { return m_sole_owner; }
+    /// The longest lease under which owners before started what may still run; 0 when there is nothing.
+    [[nodiscard]] milliseconds earlier_lease() const { return m_earlier_lease; }
+    /// Tells that all of that is known or has ended.
+    void forget_earlier_lease() { m_earlier_lease = {}; }
 
 private:
     [[nodiscard]] std::string key(const char* kind, const std::string& name) const;
@@ -62,6 +67,8 @@
     std::string m_prefix;
     std::string m_owner;
     std::string m_peer_address;
+    milliseconds m_longest_lease;
+    milliseconds m_earlier_lease{0};
     pb::partition_head m_head;
     std::int64_t m_version = 0; ///< of the head row; 0 when there is none
     bool m_sole_owner = false;
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -1,3 +1,4 @@
+#include "cell/lease.h"
 #include "cell/owned_partition.h"
 #include "cell/partition_rows.h"
 
@@ -16,6 +17,8 @@
 
 namespace {
 
+constexpr milliseconds longest_lease{6000};
+
 /// A table whose transactions can be held on their way.
 class held_table final : public table {
 public:
@@ -106,8 +109,8 @@
             m_sent = std::move(call);
             m_elsewhere.push_back(std::move(done));
         };
-        owned = std::make_unique<owned_partition>(owned_partition_options{0, owner, "10.0.0.1:1", 4500ms},
-                                                  environment);
+        owned = std::make_unique<owned_partition>(
+            owned_partition_options{0, owner, "10.0.0.1:1", longest_lease}, environment);
         owned->set_declarations(one_queue());
         owned->start();
         while (owned->status() == partition_status::taking)
@@ -200,16 +203,60 @@
     INFO(given.name);
     standin::memory_table rows;
     if (*given.before != '\0') {
-        partition_rows before{rows, 0, given.before, "a"};
+        partition_rows before{rows, 0, given.before, "a", longest_lease};
         REQUIRE(before.take());
         if (given.released)
             REQUIRE(before.release() == row_outcome::written);
     }
-    partition_rows next{rows, 0, given.owner, "b"};
+    partition_rows next{rows, 0, given.owner, "b", longest_lease};
     REQUIRE(next.take());
     CHECK(next.sole_owner() == given.sole);
 }
 
+TEST_CASE("a new owner waits for the leases that owners before it asked for", "[ownership][recovery]") {
+    struct row {
+        const char* name;
+        std::vector<milliseconds> longest; ///< that targets keep, for one owner after the other
+        bool known = false;                ///< what runs was known to the last of them
+        bool told = true;                  ///< it told its lease
+        milliseconds waits{0};
+    };
+    const auto given =
+        GENERATE(row{"the first owner", {}, false, true, 0s},
+                 row{"the same lease", {6s}, false, true, lease_within(6s)},
+                 row{"one of two owners ago", {6s, 3s}, false, true, lease_within(6s)},
+                 row{"two owners ago, and its runs have ended", {6s, 3s}, true, true, lease_within(3s)},
+                 row{"an earlier release, which told none", {3s}, false, false, 10s});
+    INFO(given.name);
+    standin::memory_table rows;
+    int number = 0;
+    for (const auto longest : given.longest) {
+        partition_rows owner{rows, 0, "n" + std::to_string(++number) + "/1", "a", longest};
+        REQUIRE(owner.take());
+        if (given.known)
+            owner.forget_earlier_lease();
+        REQUIRE(owner.write({}) == row_outcome::written);
+    }
+    if (!given.told) {
+        const auto head = rows.list({}, {}, 1)->front();
+        pb::partition_head without;
+        REQUIRE(without.ParseFromString(head.value));
+        without.clear_lease_ms();
+        REQUIRE(rows.transact({{head.key, without.SerializeAsString(), write_condition::none, 0, false}})
+                    .outcome == write_outcome::committed);
+    }
+    partition_rows next{rows, 0, "n9/1", "a", 10s};
+    REQUIRE(next.take());
+    CHECK(next.earlier_lease() == given.waits);
+}
+
+TEST_CASE("work of silent targets doesn't wait longer where longer leases are allowed", "[ownership]") {
+    CHECK(lease_within(3s) < 3s);
+    CHECK(lease_within(6s) < 6s);
+    CHECK(lease_within(10s) == lease_within(6s));
+    CHECK(lease_within(1h) == lease_within(6s));
+}
+
 TEST_CASE("a job is handed on once, also by later owners", "[ownership][recovery]") {
     partition_under_test partition;
     partition.better = 2;
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr milliseconds longest_lease{6000};
+
 constexpr auto entry_text = R"({"service":"s","addr":"10.0.0.9:80","zone":"vernon","state":"ready",
     "capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},"labels":["a","r1-3"],"born":7,"seq":4})";
 
@@ -113,8 +115,8 @@
 
 TEST_CASE("a deposed owner's rows change nothing", "[rows]") {
     standin::memory_table table;
-    partition_rows first{table, 0, "a/1", "10.0.0.1:1"};
-    partition_rows second{table, 0, "b/1", "10.0.0.2:1"};
+    partition_rows first{table, 0, "a/1", "10.0.0.1:1", longest_lease};
+    partition_rows second{table, 0, "b/1", "10.0.0.2:1", longest_lease};
     REQUIRE(first.take() == 1);
     job_rows rows;
     rows.rows.push_back({"j1", "", "", false, false});
@@ -130,7 +132,7 @@
 
 TEST_CASE("a write whose answer was lost counts once it is seen to have been carried out", "[rows]") {
     standin::memory_table table;
-    partition_rows rows{table, 0, "a/1", "10.0.0.1:1"};
+    partition_rows rows{table, 0, "a/1", "10.0.0.1:1", longest_lease};
     REQUIRE(rows.take());
     job_rows some;
     some.rows.push_back({"j1", "", "", false, false});
