Count under a team's limit what targets may run that weren't heard since a takeover

Now it counts for each team the most that earlier jobs can have at targets not heard yet, and stops nothing for the limit meanwhile. The test failed before: 9 starts where 3 and 7 were allowed.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -439,6 +439,8 @@
     [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
     [[nodiscard]] team_part part_of_team(const std::string& team) const;
+    /// After a takeover, the most that teams may have running at targets that weren't heard yet.
+    [[nodiscard]] std::map<std::string, resources> most_unheard() const;
     /// Whether the team may start that much more once `gone` has ended.
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need,
                                   const resources& gone = {}) const;
@@ -472,6 +474,7 @@
     bool m_doubt = false;
     instant m_next_gang_check{};
     std::map<std::string, resources> m_held;       ///< by team
+    std::map<std::string, resources> m_unheard;    ///< by team, as of the last pass
     std::map<std::string, team_part> m_team_parts; ///< by team
     struct held_back {
         resources next; ///< what the first work in the order of turns needs at once
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -29,6 +29,16 @@
                      part(cap.accelerators, used.accelerators)});
 }
 
+resources larger_of(const resources& left, const resources& right) {
+    return {std::max(left.cpu_milli, right.cpu_milli), std::max(left.memory_mb, right.memory_mb),
+            std::max(left.accelerators, right.accelerators)};
+}
+
+resources smaller_of(const resources& left, const resources& right) {
+    return {std::min(left.cpu_milli, right.cpu_milli), std::min(left.memory_mb, right.memory_mb),
+            std::min(left.accelerators, right.accelerators)};
+}
+
 bool is_limit(const resources& cap) {
     return cap.cpu_milli > 0 || cap.memory_mb > 0 || cap.accelerators > 0;
 }
@@ -46,6 +56,33 @@
     return m_options.partitions > 1 ? team_part{0, 1.0 / m_options.partitions} : team_part{1, 1};
 }
 
+std::map<std::string, resources> job_engine::most_unheard() const {
+    std::map<std::string, resources> unheard;
+    if (!m_doubt || m_unclaimed.empty())
+        return unheard;
+    resources largest;
+    for (const auto& [id, target] : m_targets)
+        largest = larger_of(largest, target.entry.capacity);
+    resources room;
+    for (const auto& id : m_unclaimed) {
+        const auto target = m_targets.find(id);
+        room += target == m_targets.end() ? largest : target->second.entry.capacity;
+    }
+    for (const auto& id : m_open) {
+        const auto& job = m_jobs.at(id);
+        if (!job.doubtful)
+            continue;
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+                unheard[job.team] +=
+                    times(need_of(job.spec.steps(static_cast<int>(i))), count_queued(occurrence.steps[i]));
+        }
+    }
+    for (auto& [team, most] : unheard)
+        most = smaller_of(most, room);
+    return unheard;
+}
+
 bool job_engine::within_cap(const std::string& team, const resources& need, const resources& gone) const {
     const auto policy = m_config->teams.find(team);
     if (policy == m_config->teams.end() || !is_limit(policy->second.cap))
@@ -55,6 +92,8 @@
     const auto found = m_held.find(team);
     auto held = found == m_held.end() ? resources{} : found->second;
     held -= gone;
+    if (const auto unheard = m_unheard.find(team); unheard != m_unheard.end())
+        held += unheard->second;
     const auto fits = [&](std::int64_t limit, std::int64_t used, std::int64_t more) {
         const auto part =
             static_cast<std::int64_t>(std::floor(static_cast<double>(limit) * share + unit_rounding));
@@ -106,7 +145,7 @@
 void job_engine::yield_under_cap(instant at, const ready_step& ready, const resources& unit) {
     const auto& team = ready.job->team;
     auto& next = m_next_yield[team];
-    if (at > ready.turn->hopeless || at < next)
+    if (at > ready.turn->hopeless || at < next || m_doubt)
         return;
     next = at + yield_period;
     resources gone; // by runs that are being stopped
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -41,6 +41,7 @@
     m_changed = false;
     m_over_cap.clear();
     m_claimed.clear();
+    m_unheard = most_unheard();
     m_stray_tasks.clear();
     for (const auto& [id, target] : m_targets) {
         for (const auto& stray : target.strays)
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -794,6 +794,45 @@
     }
 }
 
+TEST_CASE("a new owner counts under a team's limit what targets that it didn't hear may run",
+          "[engine][caps][recovery]") {
+    struct row {
+        const char* name;
+        int earlier; ///< tasks of the team's earlier job, of 1 core each
+        std::size_t starts;
+    };
+    const auto given = GENERATE(row{"as much as the silent target holds", 20, 3},
+                                row{"all that the team may have there", 2, 7}, row{"nothing", 0, 9});
+    INFO(given.name);
+    engine_options options;
+    options.unknown_runs = 5s;
+    job_engine engine{options};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    config->teams["orchard"].cap.cpu_milli = 9000;
+    engine.set_config(config);
+    std::map<std::string, pb::job_spec> earlier;
+    if (given.earlier > 0)
+        earlier["earlier"] = simple_job("earlier", {simple_step(given.earlier, 1000)});
+    engine.restore(earlier, {});
+    engine.restore_roster(start, {"heard", "silent"});
+    engine.set_targets(start, {standin::job_target{"heard", {64'000, 64'000, 0}, start}.entry(),
+                               standin::job_target{"silent", {6000, 64'000, 0}, start}.entry()});
+    for (const auto& poll : engine.take_polls(start)) {
+        poll_result result;
+        result.outcome = poll.target == "heard" ? order_outcome::done : order_outcome::lost;
+        result.clock_ms = 1;
+        engine.polled(start, start, poll, result);
+    }
+    (void)engine.accept(start, simple_job("new", {simple_step(9, 1000)}));
+    (void)engine.take_rows(start);
+    engine.rows_written(start);
+    engine.tick(start + 200ms);
+    CHECK(engine.take_orders(start + 200ms).size() == given.starts);
+    engine.tick(start + 5s); // what ran there has ended by now
+    CHECK(engine.take_orders(start + 5s).size() == 9 - given.starts);
+}
+
 TEST_CASE("a gang keeps its part of a limit while it waits for room", "[engine][caps]") {
     divided_owner owner{10'000};
     auto tea = simple_job("tea", {simple_step(8, 1000)});
