--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -501,6 +501,7 @@
              {"deciding_ms", text(std::chrono::round<milliseconds>(std::exchange(m_deciding, {})).count())},
              {"round_trip_ms", text(m_gate.late().count())},
              {"limiting", m_gate.limiting() ? "true" : "false"},
+             {"team_limits", m_engine->describe_limits()},
              {"callers", text(m_waiters.size())}});
         m_environment.counters->set("open_jobs", static_cast<double>(now_held.open_jobs));
         m_environment.counters->set("waiting_tasks", static_cast<double>(now_held.waiting_tasks));
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -231,6 +231,8 @@
     // Upper limits of teams.
     /// What the partition does under the limits of teams that have any work here.
     [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
+    /// For the log: of some limits that hold work back, what is held, had and needed here.
+    [[nodiscard]] std::string describe_limits() const;
     /// False after a takeover while targets that weren't heard yet may run tasks.
     [[nodiscard]] bool runs_known() const { return !m_doubt; }
     /// The partition's part of each team. With several partitions nothing of a limited team starts before its
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds yield_period{100};
 /// A part of a limit is meant to be whole units of it; this much less is rounding.
 constexpr double unit_rounding = 0.01;
+constexpr std::size_t most_limits_told = 6;
 /// Of its limit, what a team uses at most while it is far from it.
 constexpr double used_far_from_cap = 0.5;
 
@@ -132,6 +133,17 @@
            " of " + std::to_string(std::lround(100 * part_of_team(team).cap)) + " % are held here";
 }
 
+std::string job_engine::describe_limits() const {
+    std::string text;
+    std::size_t told = 0;
+    for (const auto& [team, back] : m_over_cap) {
+        if (++told > most_limits_told)
+            break;
+        text += (text.empty() ? "" : "; ") + team + ": " + describe_limit(team, back.next);
+    }
+    return text;
+}
+
 bool job_engine::waits_behind_cap(instant at, const ready_step& ready, const resources& unit) {
     if (!m_over_cap.contains(ready.job->team)) {
         if (within_cap(ready.job->team, unit))
