Refuse at once while the table leaves a write without any answer

Cause: a silent table counted as failing only after the write and the look at the head row had timed out. The test failed before (unknown at its deadline).

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -208,8 +208,7 @@
         const std::lock_guard lock{m_mutex};
         if (m_status != partition_status::active)
             return false;
-        const bool waits = m_write_sent != instant{} && at - m_write_sent > slow_write;
-        return waits || m_failing_since != instant{};
+        return failing_since(at) != instant{};
     }
 
     void depose(std::string_view reason) {
@@ -400,8 +399,18 @@
 
     // ---- Callers ----
 
+    /// Since when the table fails; unset while it doesn't. A write that it leaves without any answer counts
+    /// before it has timed out.
+    instant failing_since(instant at) const {
+        if (m_failing_since != instant{})
+            return m_failing_since;
+        const bool waits = m_write_sent != instant{} && at - m_write_sent > slow_write;
+        return waits ? m_write_sent + slow_write : instant{};
+    }
+
     bool table_out(instant at) const {
-        return m_failing_since != instant{} && at - m_failing_since > table_out_after;
+        const auto since = failing_since(at);
+        return since != instant{} && at - since > table_out_after;
     }
 
     void submit(instant at, const pb::job_call& call, job_callback done) {
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -186,6 +186,25 @@
     CHECK((*recorded)[1].key == "p0/spec/in_write");
 }
 
+TEST_CASE("while the table gives no answer to a write, what isn't in it is refused",
+          "[ownership][recovery]") {
+    partition_under_test partition;
+    partition.rows.hold(true);
+    auto in_write = partition.submit("in_write");
+    partition.rows.await_held();
+    auto unseen = partition.submit("unseen");
+    while (unseen.wait_for(5ms) != std::future_status::ready)
+        partition.owned->tick();
+    CHECK(unseen.get().result() == pb::job_answer::not_run);
+    const auto refused = partition.submit("later").get();
+    CHECK(refused.result() == pb::job_answer::not_run);
+    CHECK(refused.retry_after_ms() > 0);
+    CHECK(in_write.wait_for(0ms) == std::future_status::timeout); // it may be recorded
+    partition.rows.hold(false);
+    CHECK(in_write.get().result() == pb::job_answer::ok);
+    CHECK(partition.submit("unseen").get().result() == pb::job_answer::ok);
+}
+
 TEST_CASE("a new owner knows when nobody before it can command targets any more", "[ownership][recovery]") {
     struct row {
         const char* name;
