Refuse what the limit of its team lets end only too late

Cause: only the wait for the whole partition was looked at before a job was accepted. Change: what goes before the job in its team's order, at the team's whole limit, counts too, so that a wait over several partitions is never overestimated.

--- a/src/jobs/cap_division.h
+++ b/src/jobs/cap_division.h
@@ -26,9 +26,9 @@
 std::optional<pb::cap_division> divide_cap(const pb::cap_division& row, int number, std::uint64_t epoch,
                                            const cap_want& want);
 
-/// Up to which part of the limit partition `number` may start work: its share, less what others lack that have
-/// waited longer for their next work. That may be less than it holds. Without this, small work that waits would
-/// take each bit that falls free, and a wide gang elsewhere would never have its part.
+/// Up to which part of the limit partition `number` may start work: its share, less what others lack that
+/// have waited longer for their next work. That may be less than it holds. Without this, small work that
+/// waits would take each bit that falls free, and a wide gang elsewhere would never have its part.
 double usable_share(const pb::cap_division& row, int number);
 
 } // namespace medlarhub
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -120,6 +120,13 @@
     return add(at, std::move(spec), beyond_rate);
 }
 
+bool job_engine::within_rate(instant at, const std::string& team) const {
+    const auto policy = m_config->teams.find(team);
+    const auto known = m_rates.find(team);
+    return policy == m_config->teams.end() || known == m_rates.end() ||
+           known->second.allows(at, policy->second.jobs_per_second * part_of_team(team).rate);
+}
+
 bool job_engine::take_rate(instant at, const std::string& team) {
     const auto policy = m_config->teams.find(team);
     return policy != m_config->teams.end() &&
@@ -271,6 +278,10 @@
     set_ready(job, number);
 }
 
+instant job_engine::latest_start(instant at, const pb::job_spec& spec) const {
+    return at + allowance_of(spec) - chain_of(spec) - order_time;
+}
+
 milliseconds job_engine::allowance_of(const pb::job_spec& spec) const {
     const auto queue = m_config->queues.find(spec.queue());
     const auto stretch = queue == m_config->queues.end() ? 1.0 : queue->second.stretch;
@@ -311,7 +322,8 @@
     const auto capacity = usable_cpu_milli(at);
     if (capacity == 0)
         return {}; // nothing is known of the targets yet
-    const milliseconds wait{static_cast<std::int64_t>(ahead / static_cast<double>(capacity))};
+    const milliseconds in_all{static_cast<std::int64_t>(ahead / static_cast<double>(capacity))};
+    const auto wait = std::max(in_all, wait_under_cap(at, spec, queue->second.priority));
     if (wait + chain_of(spec) <= hopeless_factor * allowance_of(spec))
         return {};
     return wait;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -196,7 +196,8 @@
     [[nodiscard]] std::int64_t usable_cpu_milli(instant at) const;
     /// Whether another partition could run the job as well as this one.
     [[nodiscard]] bool may_hand_on(const pb::job_spec& spec) const;
-    /// How long what waits takes, when that is so long that an end of this job would be worth nothing.
+    /// How long what waits before it takes, in all or under its team's limit, when that is so long that an
+    /// end of this job would be worth nothing.
     [[nodiscard]] std::optional<milliseconds> hopeless_wait(instant at, const pb::job_spec& spec) const;
     /// Takes a job back that was never handed out for writing, so that it surely never runs; false otherwise.
     bool withdraw(const std::string& job);
@@ -333,10 +334,16 @@
     // engine.cpp: jobs and their ends.
     job_state* find(const std::string& job);
     accept_outcome add(instant at, pb::job_spec spec, bool beyond_rate);
+    /// Whether one more job of the team is within its rate.
+    [[nodiscard]] bool within_rate(instant at, const std::string& team) const;
     /// Counts a job of the team; true when it is beyond the team's rate.
     bool take_rate(instant at, const std::string& team);
     step_state* find_step(const task_name& name, job_state** job);
     void open_occurrence(instant at, job_state& job, int number, const pb::occurrence_progress* from);
+    /// How long work of the job's team takes that goes before it, at the team's whole limit.
+    [[nodiscard]] milliseconds wait_under_cap(instant at, const pb::job_spec& spec, int priority) const;
+    /// Of a job that is accepted now, for an end that is in time.
+    [[nodiscard]] instant latest_start(instant at, const pb::job_spec& spec) const;
     [[nodiscard]] milliseconds allowance_of(const pb::job_spec& spec) const;
     void open_due_occurrences(instant at, job_state& job);
     void set_ready(job_state& job, int occurrence);
@@ -454,6 +461,8 @@
     /// A limit may be lowered below what accepted work needs at once. That runs while its team runs nothing
     /// else.
     [[nodiscard]] bool wider_than_cap(const std::string& team, const resources& unit) const;
+    /// How much of the team's whole limit that is; 0 without a limit.
+    [[nodiscard]] double part_of_cap(const std::string& team, const resources& used) const;
     /// Whether the team may run far more than it does: elsewhere it would only wait for its limit.
     [[nodiscard]] bool far_from_cap(const std::string& team) const;
     /// For the log: how much of the limit `unit` needs and what is used of it.
@@ -497,6 +506,12 @@
     advice_lanes m_lanes;
     std::map<std::string, good_share> m_good_share; ///< by queue
     std::map<int, double> m_backlog; ///< core-milliseconds that wait and can still be in time, by priority
+    /// Work that waits and can still be in time, as the time that it takes at its team's whole limit.
+    struct limited_work {
+        waiting_step turn;
+        std::chrono::duration<double, std::milli> time{0};
+    };
+    std::map<std::string, std::vector<limited_work>> m_limited; ///< by team
     std::int64_t m_unasked_cpu_milli = 0; ///< room that no step before in the pass counts on
     std::map<std::string, task_name> m_asked_steps;
     std::vector<engine_event> m_events;
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -107,9 +107,26 @@
            fits(cap.accelerators, held.accelerators, need.accelerators);
 }
 
-bool job_engine::wider_than_cap(const std::string& team, const resources& unit) const {
+double job_engine::part_of_cap(const std::string& team, const resources& used) const {
     const auto policy = m_config->teams.find(team);
-    return policy != m_config->teams.end() && part_of(policy->second.cap, unit) > 1;
+    return policy == m_config->teams.end() ? 0 : part_of(policy->second.cap, used);
+}
+
+bool job_engine::wider_than_cap(const std::string& team, const resources& unit) const {
+    return part_of_cap(team, unit) > 1;
+}
+
+milliseconds job_engine::wait_under_cap(instant at, const pb::job_spec& spec, int priority) const {
+    const auto limited = m_limited.find(spec.team());
+    if (limited == m_limited.end())
+        return {};
+    const waiting_step turn{!within_rate(at, spec.team()), priority, latest_start(at, spec), instant::max()};
+    std::chrono::duration<double, std::milli> ahead{0};
+    for (const auto& work : limited->second) {
+        if (goes_before(at, work.turn, turn))
+            ahead += work.time;
+    }
+    return std::chrono::floor<milliseconds>(ahead);
 }
 
 bool job_engine::far_from_cap(const std::string& team) const {
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -150,6 +150,7 @@
 
 void job_engine::count_backlog(instant at, const std::vector<ready_step>& waiting) {
     m_backlog.clear();
+    m_limited.clear();
     for (const auto& ready : waiting) {
         if (at > ready.turn->hopeless)
             continue;
@@ -158,6 +159,11 @@
         const auto work =
             static_cast<double>(spec.need().cpu_milli()) * static_cast<double>(spec.estimate_ms());
         m_backlog[ready.turn->priority] += work * static_cast<double>(step.open);
+        const auto queued = static_cast<double>(count_queued(step));
+        const auto time =
+            milliseconds{spec.estimate_ms()} * (queued * part_of_cap(ready.job->team, need_of(spec)));
+        if (time.count() > 0)
+            m_limited[ready.job->team].push_back({*ready.turn, time});
     }
 }
 
--- a/src/jobs/waiting_order.cpp
+++ b/src/jobs/waiting_order.cpp
@@ -26,17 +26,23 @@
                                              lateness(at, right), right.due};
 }
 
+double rate_allowance::saved(instant at, double per_second) const {
+    const auto most = std::max(per_second * burst_s, least_burst);
+    if (!m_used)
+        return most;
+    const auto passed = std::chrono::duration<double>(at - m_last).count();
+    return std::min(most, m_saved + passed * per_second);
+}
+
+bool rate_allowance::allows(instant at, double per_second) const {
+    return per_second <= 0 || saved(at, per_second) >= 1;
+}
+
 bool rate_allowance::take(instant at, double per_second) {
     if (per_second <= 0)
         return true;
-    const auto most = std::max(per_second * burst_s, least_burst);
-    if (!m_used) {
-        m_used = true;
-        m_saved = most;
-        m_last = at;
-    }
-    const auto passed = std::chrono::duration<double>(at - m_last).count();
-    m_saved = std::min(most, m_saved + passed * per_second);
+    m_saved = saved(at, per_second);
+    m_used = true;
     m_last = at;
     if (m_saved < 1)
         return false;
--- a/src/jobs/waiting_order.h
+++ b/src/jobs/waiting_order.h
@@ -23,8 +23,11 @@
 public:
     /// Counts one job; false when it is beyond the rate. No limit when the rate is 0.
     bool take(instant at, double per_second);
+    /// Whether one more job is within the rate.
+    [[nodiscard]] bool allows(instant at, double per_second) const;
 
 private:
+    [[nodiscard]] double saved(instant at, double per_second) const;
     double m_saved = 0;
     instant m_last{};
     bool m_used = false;
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -636,6 +636,43 @@
     CHECK_FALSE(world.owner().hopeless_wait(world.at(), urgent));
 }
 
+TEST_CASE("a job that its team's limit lets end only too late is refused, others are not", "[engine][load]") {
+    struct row {
+        const char* name;
+        int waiting;            ///< jobs of the team, which may run two at a time
+        double jobs_per_second; ///< that are its share
+        const char* team;
+        const char* queue;
+        bool refused;
+    };
+    const auto given =
+        GENERATE(row{"few wait", 3, 0, "orchard", "checks", false},
+                 row{"too many wait", 12, 0, "orchard", "checks", true},
+                 row{"most of them beyond its share, as the new one is", 12, 1, "orchard", "checks", true},
+                 row{"another team", 12, 0, "tea", "checks", false},
+                 row{"a more urgent queue", 12, 0, "orchard", "urgent", false});
+    INFO(given.name);
+    job_world world{{.targets = 12, .work = 10s}, 16};
+    world.set_config([&](cell_config& config) {
+        config.queues["checks"].latency_goal = 1s;
+        config.queues["checks"].priority = 1;
+        config.queues["urgent"] = config.queues["checks"];
+        config.queues["urgent"].priority = 0;
+        config.teams["orchard"].cap.cpu_milli = 2000;
+        config.teams["orchard"].jobs_per_second = given.jobs_per_second;
+        config.teams["tea"] = config.teams["orchard"];
+    });
+    auto step = simple_step(1, 1000);
+    step.set_estimate_ms(10'000);
+    for (int i = 0; i < given.waiting; ++i)
+        world.submit(simple_job("j" + std::to_string(i), {step}));
+    world.run_for(200ms);
+    auto job = simple_job("n", {step});
+    job.set_team(given.team);
+    job.set_queue(given.queue);
+    CHECK(world.owner().hopeless_wait(world.at(), job).has_value() == given.refused);
+}
+
 TEST_CASE("a pile of questions is asked one ahead of each node, long ones apart", "[advice][load]") {
     advice_lanes lanes;
     lanes.set_nodes({"a", "b", "c", "d"});
