--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -4,6 +4,7 @@
 #include "jobs/advice_lanes.h"
 #include "jobs/cap_division.h"
 #include "jobs/cell_config.h"
+#include "jobs/engine_messages.h"
 #include "jobs/gang_room.h"
 #include "jobs/step_wait.h"
 #include "jobs/target_table.h"
@@ -37,115 +38,6 @@
     milliseconds unknown_runs{0}; ///< after a takeover, how long a target that isn't reached may run tasks
 };
 
-enum class order_kind { start, stop };
-
-/// A command to one target.
-struct target_order {
-    order_kind kind = order_kind::start;
-    std::string target;
-    std::string address;
-    task_name task;
-    int run = 0;
-    std::uint64_t epoch = 0;
-    // Of a start:
-    std::string body;
-    std::string saved;
-    std::string ticket;
-    std::int64_t deadline_ms = 0; ///< on the target's clock
-};
-
-enum class order_outcome {
-    done,
-    fenced,     ///< another owner was seen
-    superseded, ///< a run as high as this one was seen
-    too_late,   ///< it came after its deadline
-    no_room,
-    bad_ticket,
-    other_target, ///< another life answers at that address
-    unhealthy,    ///< the target took nothing in
-    malformed,
-    not_sent, ///< nobody listens there
-    lost,     ///< no answer: it may be carried out
-};
-
-struct poll_order {
-    std::uint64_t number = 0; ///< in the order of sending
-    std::string target;
-    std::string address;
-    std::uint64_t epoch = 0;
-    std::int64_t acked_upto = 0;
-    std::optional<std::int64_t> deadline_ms; ///< on the target's clock
-    milliseconds wait{0};
-};
-
-struct listed_run {
-    std::string task;
-    int run = 0;
-    std::string saved;
-    double usage = 0; ///< of late, in the target's own measure; 0 for a run that waits for its gang
-};
-
-enum class end_kind { done, failed, stopped, lapsed, broken, alone };
-
-struct listed_end {
-    std::int64_t number = 0;
-    std::string task;
-    int run = 0;
-    end_kind how = end_kind::failed;
-    std::string saved;
-};
-
-struct poll_result {
-    order_outcome outcome = order_outcome::lost;
-    std::int64_t clock_ms = 0;
-    std::int64_t born_ms = 0; ///< 0 when not told
-    std::vector<listed_run> running;
-    std::vector<listed_end> ended;
-};
-
-enum class accept_outcome { accepted, known, invalid };
-
-/// Rows of jobs to write in one transaction.
-struct job_rows {
-    struct row {
-        std::string job;
-        std::optional<std::string> spec;     ///< to put
-        std::optional<std::string> progress; ///< to put
-        bool drop_spec = false;
-        bool drop_progress = false;
-    };
-    std::vector<row> rows;
-    std::optional<std::string> roster;
-};
-
-/// One thing that was decided, for the log.
-struct engine_event {
-    std::string what;
-    std::string job;
-    std::string detail;
-};
-
-/// A job that another partition is to keep. It is submitted there until that partition has recorded it.
-struct job_move {
-    pb::job_spec spec;
-    int partition = 0;
-    bool beyond_rate = false;
-};
-
-/// Where a job is kept that was handed on to another partition.
-struct handed_job {
-    int partition = 0;
-    bool beyond_rate = false;
-};
-
-/// What a partition has of a team that may have jobs in several.
-struct team_part {
-    double cap = 0;  ///< of its upper limit
-    double rate = 0; ///< of the jobs a second that are its share
-
-    friend bool operator==(const team_part&, const team_part&) = default;
-};
-
 /// The jobs of one partition as its owner sees them: accepts, places, follows and ends them. It does no input
 /// or output: what is to be sent, asked or written is fetched from it, and what came back is told to it. Not
 /// safe for concurrent use.
@@ -553,10 +445,6 @@
     bool m_fenced = false;
 };
 
-/// The words that logs use.
-std::string_view name_of(order_outcome outcome);
-std::string_view name_of(end_kind how);
-
 /// Why a spec can't be taken, or nothing when it can.
 std::optional<std::string> fault_of(const pb::job_spec& spec);
 
