--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -16,10 +16,10 @@
 struct cell_options {
     std::string node;
     std::string data_centre;
-    std::string peer_address;       ///< `ip:port` for other nodes
-    std::vector<std::string> seeds; ///< peer addresses of some other nodes; they may be stale
-    std::int64_t cpu_milli = 1000;  ///< what the node may use of its processor
-    int partitions = 0;             ///< 0: by the number of targets when the cell first starts
+    std::string peer_address;         ///< `ip:port` for other nodes
+    std::vector<std::string> seeds;   ///< peer addresses of some other nodes; they may be stale
+    std::int64_t cpu_milli = 1000;    ///< what the node may use of its processor
+    int partitions = 0;               ///< 0: by the number of targets when the cell first starts
     milliseconds longest_lease{6000}; ///< that targets keep
 };
 
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -27,7 +27,7 @@
     std::string owner; ///< this node and its incarnation
     std::string peer_address;
     milliseconds longest_lease{6000}; ///< that targets keep
-    int partitions = 1; ///< of the cell
+    int partitions = 1;               ///< of the cell
 };
 
 /// What an owned partition reaches.
