--- a/src/jobs/cap_division.cpp
+++ b/src/jobs/cap_division.cpp
@@ -126,12 +126,13 @@
     const bool lacked = lacks(mine);
     mine.set_share(share);
     const bool starts_here = lacked && !lacks(mine);
+    const bool lack_unknown = lacks(mine) && !lacks(before);
     // The others see what is held here, and how much they may have, only once it is written.
     auto others_started = starting(row);
     others_started.erase(number);
     const bool gives_way =
         others_started != others_start || (!others_start.empty() && share + rounding < present);
-    if (!starts_here && !gives_way && !worth_writing(before, mine))
+    if (!starts_here && !lack_unknown && !gives_way && !worth_writing(before, mine))
         return {};
     return next;
 }
--- a/test/cap_division_test.cpp
+++ b/test/cap_division_test.cpp
@@ -157,6 +157,17 @@
     CHECK(row.parts().at(1).share() >= given.second.held + given.second.next - rounding);
 }
 
+TEST_CASE("a gang that comes next and needs hardly more than the one before gets that", "[caps][load]") {
+    const auto more = GENERATE(0.009, 0.001, 0.05);
+    const cap_want small{0.4, 0.3, 0.3};
+    pb::cap_division row = usual(2);
+    row = *divide_cap(row, 1, 1, {0, 0.48, 0}); // it has waited longer
+    row = settle(row, {small, {0, 0.48, 0}});
+    row = settle(row, {small, {0, 0.48 + more, 0}});
+    constexpr double rounding = 1e-9;
+    CHECK(row.parts().at(1).share() >= 0.48 + more - rounding);
+}
+
 TEST_CASE("whoever waits longest for a part that is free gets all of it", "[caps][load]") {
     std::mt19937_64 random{11};
     constexpr int rounds = 300;
