Count what a cancelled job still runs after a takeover under its team's limit

Now strays count; a team starts nothing while one of them is of unknown need (the spec goes with the job's end), and at targets that weren't heard yet as much as fits there is taken for used by teams of which a job was stopped lately. Test: failed before on 3 of 4 cases (9 starts where 5, 0 and 3 were allowed).

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -312,6 +312,7 @@
 
     // engine_schedule.cpp: who runs where.
     void schedule(instant at);
+    void collect_strays();
     /// Steps that have their turn in this pass.
     std::vector<ready_step> collect_waiting(instant at);
     static std::ptrdiff_t count_queued(const step_state& step);
@@ -341,7 +342,7 @@
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
     [[nodiscard]] team_part part_of_team(const std::string& team) const;
     /// After a takeover, the most that teams may have running at targets that weren't heard yet.
-    [[nodiscard]] std::map<std::string, resources> most_unheard() const;
+    [[nodiscard]] std::map<std::string, resources> most_unheard(instant at) const;
     /// Whether the team may start that much more once `gone` has ended.
     [[nodiscard]] bool within_cap(const std::string& team, const resources& need,
                                   const resources& gone = {}) const;
@@ -376,8 +377,11 @@
     instant m_doubt_ends{};
     bool m_doubt = false;
     instant m_next_gang_check{};
-    std::map<std::string, resources> m_held;       ///< by team
-    std::map<std::string, resources> m_unheard;    ///< by team, as of the last pass
+    std::map<std::string, resources> m_held; ///< by team
+    /// What may run beside that, at targets that weren't heard or on its way out, by team, as of the last
+    /// pass.
+    std::map<std::string, resources> m_unheard;
+    std::set<std::string> m_unknown_use;           ///< teams of which something runs whose need isn't known
     std::map<std::string, team_part> m_team_parts; ///< by team
     struct held_back {
         resources next; ///< what the first work in the order of turns needs at once
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -57,7 +57,7 @@
     return m_options.partitions > 1 ? team_part{0, 1.0 / m_options.partitions} : team_part{1, 1};
 }
 
-std::map<std::string, resources> job_engine::most_unheard() const {
+std::map<std::string, resources> job_engine::most_unheard(instant at) const {
     std::map<std::string, resources> unheard;
     if (!m_doubt || m_unclaimed.empty())
         return unheard;
@@ -79,6 +79,12 @@
                     times(need_of(job.spec.steps(static_cast<int>(i))), count_queued(occurrence.steps[i]));
         }
     }
+    for (const auto& [id, job] : m_jobs) {
+        const bool stopped =
+            job.phase == pb::job_progress::cancelled || job.phase == pb::job_progress::failed;
+        if (stopped && at - from_ms(job.ended_ms) < m_options.unknown_runs)
+            unheard[job.team] += room;
+    }
     for (auto& [team, most] : unheard)
         most = smaller_of(most, room);
     return unheard;
@@ -88,6 +94,8 @@
     const auto policy = m_config->teams.find(team);
     if (policy == m_config->teams.end() || !is_limit(policy->second.cap))
         return true;
+    if (m_unknown_use.contains(team))
+        return false;
     const auto share = part_of_team(team).cap;
     const auto& cap = policy->second.cap;
     const auto found = m_held.find(team);
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -41,12 +41,8 @@
     m_changed = false;
     m_over_cap.clear();
     m_claimed.clear();
-    m_unheard = most_unheard();
-    m_stray_tasks.clear();
-    for (const auto& [id, target] : m_targets) {
-        for (const auto& stray : target.strays)
-            m_stray_tasks.insert(stray.task);
-    }
+    m_unheard = most_unheard(at);
+    collect_strays();
     auto waiting = collect_waiting(at);
     count_backlog(at, waiting);
     std::ranges::stable_sort(waiting, [&](const ready_step& left, const ready_step& right) {
@@ -80,6 +76,21 @@
     m_pass_after = at + std::min(spacing, longest_pass_spacing);
 }
 
+void job_engine::collect_strays() {
+    m_stray_tasks.clear();
+    m_unknown_use.clear();
+    for (const auto& [id, target] : m_targets) {
+        for (const auto& stray : target.strays) {
+            m_stray_tasks.insert(stray.task);
+            if (stray.team.empty())
+                continue;
+            m_unheard[stray.team] += stray.held;
+            if (!stray.known)
+                m_unknown_use.insert(stray.team);
+        }
+    }
+}
+
 std::vector<job_engine::ready_step> job_engine::collect_waiting(instant at) {
     std::vector<ready_step> waiting;
     const bool writes_stuck = m_rows_out && at - m_rows_taken > longest_usual_write;
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -375,11 +375,14 @@
         return;
     if (known == target.runs.end() && adopt(at, target, *name, run))
         return;
-    stray_run stray{*name, run.run, {}, at};
-    job_state* job = nullptr;
-    stray.known = find_step(*name, &job) != nullptr;
-    if (stray.known)
-        stray.held = need_of(job->spec.steps(name->step));
+    stray_run stray{*name, run.run, {}, {}, at};
+    if (const auto* job = find(name->job)) {
+        stray.team = job->team;
+        // The spec is gone soon after the job's end.
+        stray.known = name->step < job->spec.steps_size();
+        if (stray.known)
+            stray.held = need_of(job->spec.steps(name->step));
+    }
     target.strays.push_back(stray);
     m_stops = true;
     note("stray_run", name->job, target.entry.id + " " + run.task + " run " + std::to_string(run.run));
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -47,6 +47,7 @@
 struct stray_run {
     task_name task;
     int number = 0;
+    std::string team; ///< empty when its job isn't known
     resources held;
     instant next_stop{};
     bool known = false; ///< its need is; until it is gone nothing is placed beside one of unknown need
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -870,6 +870,65 @@
     CHECK(engine.take_orders(start + 5s).size() == 9 - given.starts);
 }
 
+TEST_CASE("what a new owner finds of a cancelled job counts under its team's limit until it is gone",
+          "[engine][caps][recovery]") {
+    struct row {
+        const char* name;
+        bool recorded; ///< its end is, so that the job is known
+        bool has_spec;
+        bool heard; ///< the target where it runs
+        std::size_t starts;
+    };
+    const auto given =
+        GENERATE(row{"its need is known", true, true, true, 5}, row{"its need isn't", true, false, true, 0},
+                 row{"a target that wasn't heard", true, false, false, 3},
+                 row{"nobody knows whose it is", false, false, true, 9});
+    INFO(given.name);
+    engine_options options;
+    options.unknown_runs = 5s;
+    job_engine engine{options};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    config->teams["orchard"].cap.cpu_milli = 9000;
+    engine.set_config(config);
+    std::map<std::string, pb::job_spec> specs;
+    std::map<std::string, pb::job_progress> progress;
+    if (given.has_spec)
+        specs["gone"] = simple_job("gone", {simple_step(4, 1000)});
+    if (given.recorded) {
+        progress["gone"].set_state(pb::job_progress::cancelled);
+        progress["gone"].set_team("orchard");
+        progress["gone"].set_ended_ms(to_ms(start - 1s));
+    }
+    engine.restore(specs, progress);
+    engine.restore_roster(start, {"busy", "free"});
+    engine.set_targets(start, {standin::job_target{"busy", {6000, 64'000, 0}, start}.entry(),
+                               standin::job_target{"free", {64'000, 64'000, 0}, start}.entry()});
+    const auto hear = [&](instant at, bool runs) {
+        for (const auto& poll : engine.take_polls(at)) {
+            poll_result result;
+            const bool lost = poll.target == "busy" && !given.heard;
+            result.outcome = lost ? order_outcome::lost : order_outcome::done;
+            result.clock_ms = 1;
+            for (int i = 0; runs && poll.target == "busy" && i < 4; ++i)
+                result.running.push_back({"gone.0.0." + std::to_string(i), 1, "", 1});
+            engine.polled(at, at, poll, result);
+        }
+    };
+    const auto starts = [&](instant at) {
+        engine.tick(at);
+        const auto orders = engine.take_orders(at);
+        return std::ranges::count(orders, order_kind::start, &target_order::kind);
+    };
+    hear(start, true);
+    (void)engine.accept(start, simple_job("new", {simple_step(9, 1000)}));
+    (void)engine.take_rows(start);
+    engine.rows_written(start);
+    CHECK(starts(start + 200ms) == static_cast<std::ptrdiff_t>(given.starts));
+    hear(start + 5s, false); // it has ended
+    CHECK(starts(start + 5s) == static_cast<std::ptrdiff_t>(9 - given.starts));
+}
+
 TEST_CASE("a gang keeps its part of a limit while it waits for room", "[engine][caps]") {
     divided_owner owner{10'000};
     auto tea = simple_job("tea", {simple_step(8, 1000)});
