--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -183,7 +183,7 @@
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         auto& target = it->second;
         const bool lapsed = target.suspect && target.clock_read != instant{} && at >= target.lapse();
-        if (lapsed && !target.runs.empty())
+        if (lapsed && !(target.runs.empty() && target.strays.empty()))
             drop_all(at, target, "its lease has lapsed", true);
         const bool over = !target.listed && target.suspect && target.runs.empty() && !target.poll_out &&
                           !m_unclaimed.contains(it->first);
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -929,6 +929,44 @@
     CHECK(starts(start + 5s) == static_cast<std::ptrdiff_t>(9 - given.starts));
 }
 
+TEST_CASE("unwanted runs count under a team's limit only until the lease of a silent target has lapsed",
+          "[engine][caps][recovery]") {
+    job_engine engine{{}};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    config->teams["orchard"].cap.cpu_milli = 9000;
+    engine.set_config(config);
+    pb::job_progress ended;
+    ended.set_state(pb::job_progress::cancelled);
+    ended.set_team("orchard");
+    engine.restore({}, {{"gone", ended}});
+    engine.set_targets(start, {standin::job_target{"silent", {6000, 64'000, 0}, start}.entry(),
+                               standin::job_target{"free", {64'000, 64'000, 0}, start}.entry()});
+    std::size_t starts = 0;
+    for (auto at = start; at < start + 10s; at += 100ms) {
+        for (const auto& poll : engine.take_polls(at)) {
+            poll_result result;
+            const bool lost = poll.target == "silent" && at > start;
+            result.outcome = lost ? order_outcome::lost : order_outcome::done;
+            result.clock_ms = 1 + (at - start).count();
+            if (poll.target == "silent")
+                result.running.push_back({"gone.0.0.0", 1, "", 1});
+            engine.polled(at, at, poll, result);
+        }
+        if (at == start) {
+            (void)engine.accept(at, simple_job("new", {simple_step(9, 1000)}));
+            (void)engine.take_rows(at);
+            engine.rows_written(at);
+        }
+        engine.tick(at);
+        for (const auto& order : engine.take_orders(at))
+            starts += order.kind == order_kind::start ? 1 : 0;
+        if (at <= start + 4s)
+            REQUIRE(starts == 0);
+    }
+    CHECK(starts == 9);
+}
+
 TEST_CASE("a gang keeps its part of a limit while it waits for room", "[engine][caps]") {
     divided_owner owner{10'000};
     auto tea = simple_job("tea", {simple_step(8, 1000)});
