Don't take a longer lease of an owner before for lapsed

What a target was granted starts from the lease that the head row tells. The test failed before for 4 and 8 s.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -593,6 +593,7 @@
         options.epoch = *epoch;
         options.lease = lease_within(m_options.longest_lease);
         options.partitions = m_options.partitions;
+        options.earlier_lease = m_rows.earlier_lease();
         const auto lapse = static_cast<double>(m_rows.earlier_lease().count()) * lease_drift;
         // An earlier owner may command targets until it notices that it isn't the owner any more.
         options.unknown_runs = (m_rows.sole_owner() ? orders_on_the_way : confirm_bound) +
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -35,7 +35,8 @@
     /// How long a job that came from another partition, or left for one, is remembered there; longer than
     /// jobs usually stay open.
     milliseconds elsewhere_retention{600'000};
-    milliseconds unknown_runs{0}; ///< after a takeover, how long a target that isn't reached may run tasks
+    milliseconds earlier_lease{0}; ///< the longest that owners before asked for
+    milliseconds unknown_runs{0};  ///< after a takeover, how long a target that isn't reached may run tasks
 };
 
 /// The jobs of one partition as its owner sees them: accepts, places, follows and ends them. It does no input
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -325,6 +325,8 @@
     take_running(at, sent, target, result);
     if (!target.claimed) {
         target.claimed = true;
+        // A lease that an owner before asked for is never shortened.
+        target.granted_ms = std::max(target.granted_ms, target.clock_ms + m_options.earlier_lease.count());
         m_changed = true;
         m_unclaimed.erase(order.target);
         claim_done(at);
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -967,6 +967,42 @@
     CHECK(starts == 9);
 }
 
+TEST_CASE("a run that an owner before started isn't started elsewhere before its own lease has lapsed",
+          "[engine][recovery]") {
+    const auto earlier_lease = GENERATE(0s, 4s, 8s);
+    engine_options options;
+    options.lease = 3s;
+    options.earlier_lease = earlier_lease;
+    options.unknown_runs = 20s;
+    job_engine engine{options};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    engine.set_config(config);
+    engine.restore({{"j", simple_job("j", {simple_step(1, 1000)})}}, {});
+    engine.restore_roster(start, {"silent", "free"});
+    engine.set_targets(start, {standin::job_target{"silent", {6000, 64'000, 0}, start}.entry(),
+                               standin::job_target{"free", {6000, 64'000, 0}, start}.entry()});
+    std::optional<instant> started;
+    for (auto at = start; at < start + 15s; at += 100ms) {
+        for (const auto& poll : engine.take_polls(at)) {
+            poll_result result;
+            const bool lost = poll.target == "silent" && at > start;
+            result.outcome = lost ? order_outcome::lost : order_outcome::done;
+            result.clock_ms = 1 + (at - start).count();
+            if (poll.target == "silent")
+                result.running.push_back({"j.0.0.0", 0, "", 1});
+            engine.polled(at, at, poll, result);
+        }
+        engine.tick(at);
+        for (const auto& order : engine.take_orders(at)) {
+            if (order.kind == order_kind::start && !started)
+                started = at;
+        }
+    }
+    REQUIRE(started.has_value());
+    CHECK(*started - start >= std::max<milliseconds>(earlier_lease, options.lease));
+}
+
 TEST_CASE("a gang keeps its part of a limit while it waits for room", "[engine][caps]") {
     divided_owner owner{10'000};
     auto tea = simple_job("tea", {simple_step(8, 1000)});
