Keep each team, its jobs and its whole limit in one partition

Cause: a limit was divided over partitions by rows that each owner wrote in its turn, since jobs were handed on and moved for room; a part that one owner lacked lay unused at another.

Change: a team has one home; nothing is divided, handed on or moved, and no partition is kept for wide gangs. Removed: cap_division, cap_sync, engine_moves, partition_loads, their rows and messages.

--- a/src/cell/call_router.cpp
+++ b/src/cell/call_router.cpp
@@ -61,7 +61,6 @@
     const auto made = std::make_shared<routed_call>();
     made->deadline = now() + milliseconds{call.timeout_ms()};
     made->search_until = std::min(made->deadline, now() + longest_search);
-    made->maybe_recorded = call.maybe_recorded();
     made->call = std::move(call);
     made->done = std::move(done);
     route(made);
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -1,7 +1,6 @@
 #include "cell/cell_node.h"
 
 #include "cell/call_router.h"
-#include "cell/cap_sync.h"
 #include "cell/cell_view.h"
 #include "cell/command_relay.h"
 #include "cell/command_wire.h"
@@ -42,8 +41,6 @@
 /// A better owner is to be known this long before a partition is moved to it.
 constexpr milliseconds move_after{3000};
 constexpr milliseconds no_layout_retry{1000};
-/// Between looks at how teams' limits are divided.
-constexpr milliseconds cap_period{120};
 constexpr milliseconds take_retry{200};
 constexpr milliseconds declared_wait{1000};
 constexpr milliseconds source_retry{200};
@@ -96,7 +93,6 @@
         loop([this] { tick_loop(); });
         loop([this] { ownership_loop(); });
         loop([this] { follow_targets(); });
-        loop([this] { divide_caps(); });
         return m_options.peer_address;
     }
 
@@ -137,35 +133,19 @@
     void call(pb::job_call call, job_callback done) {
         const auto layout = m_view.layout();
         const int partitions = layout->partitions;
-        const auto home =
-            home_partition_of(*layout, call.team(), call.id(), widest_gang_cpu_milli(call.spec()));
+        const auto home = home_partition_of(*layout, call.team(), call.id());
         const bool counts = call.what() == pb::job_call::count_pending;
         if (partitions == 0 || (!home && !counts))
             return done(make_job_answer(pb::job_answer::not_run, last_reason(), no_layout_retry));
         if (counts)
             return m_router->call_all(std::move(call), partitions, std::move(done));
         call.set_partition(*home);
-        const auto deadline = now() + milliseconds{call.timeout_ms()};
-        m_router->call(
-            call, [this, call, partitions, deadline, done = std::move(done)](const pb::job_answer& answer) {
-                if (answer.result() == pb::job_answer::elsewhere)
-                    return follow(call, answer, deadline, done);
-                // Wide gangs are kept elsewhere than their team's other jobs, and a job of a queue that is
-                // open to all, or was, may have come without its team.
-                if (answer.result() != pb::job_answer::not_found || partitions == 1)
-                    return done(answer);
-                m_router->call_all(call, partitions, done);
-            });
-    }
-
-    /// Repeats a call at the partition to which its job was handed on.
-    void follow(pb::job_call call, const pb::job_answer& answer, instant deadline, job_callback done) {
-        call.set_partition(answer.partition());
-        call.set_handed_on(true);
-        call.set_beyond_rate(answer.beyond_rate());
-        call.set_maybe_recorded(answer.known_before());
-        call.set_timeout_ms(std::max(deadline - now(), milliseconds{0}).count());
-        m_router->call(std::move(call), std::move(done));
+        m_router->call(call, [this, call, partitions, done = std::move(done)](const pb::job_answer& answer) {
+            // A job of a queue that is open to all, or was, may have come without its team.
+            if (answer.result() != pb::job_answer::not_found || partitions == 1)
+                return done(answer);
+            m_router->call_all(call, partitions, done);
+        });
     }
 
     std::shared_ptr<owned_partition> local_partition(int number) const override {
@@ -377,7 +357,7 @@
             next = layout_for(targets, m_options.partitions);
         if (next.partitions > 0 && (divide || owner)) {
             next = with_racks_of(std::move(next), targets);
-            next = with_teams_of(std::move(next), *config, capacity_of(targets));
+            next = with_teams_of(std::move(next), *config);
         }
         if (next != m_layout_keeper.layout() && !m_layout_keeper.replace(next))
             return;
@@ -456,8 +436,6 @@
             exchange(member.peer_address(), probe_timeout,
                      [this, id = member.id()] { m_view.probe_lost(now(), id); });
         }
-        for (const auto& address : m_view.owners_to_ask())
-            greet(address);
     }
 
     void probe_owners() {
@@ -571,7 +549,6 @@
         options.owner = m_view.owner_name();
         options.peer_address = m_options.peer_address;
         options.longest_lease = m_options.longest_lease;
-        options.partitions = layout->partitions;
         partition_environment environment;
         environment.rows = m_ports.rows.get();
         environment.orders = &m_relayed;
@@ -579,12 +556,6 @@
         environment.ask = [this](const advice_question& question, auto done) {
             ask(question, std::move(done));
         };
-        environment.better_partition = [this, number](const partition_load& load, const pb::job_spec& spec) {
-            return m_view.better_partition(now(), number, load, spec);
-        };
-        environment.submit_elsewhere = [this](pb::job_call call, job_callback done) {
-            m_router->call(std::move(call), std::move(done));
-        };
         environment.shared_outage = [this] { return m_view.shared_outage(now()); };
         const auto owned = std::make_shared<owned_partition>(std::move(options), std::move(environment));
         declarations declared;
@@ -624,14 +595,12 @@
 
     /// True when another partition has become active here.
     bool publish_owned() {
-        std::map<int, cell_view::own_partition> active;
+        std::map<int, std::uint64_t> active;
         for (const auto& [number, owned] : partitions()) {
-            if (owned->status() == partition_status::active) {
-                const auto load = owned->load();
-                active[number] = {owned->epoch(), load.wait, load.gang_wait};
-            }
+            if (owned->status() == partition_status::active)
+                active[number] = owned->epoch();
         }
-        const auto news = m_view.set_own(now(), active);
+        const auto news = m_view.set_own(active);
         for (const auto number : news.deposed) {
             if (const auto owned = local_partition(number))
                 owned->depose("a later owner is known");
@@ -691,27 +660,6 @@
             owned->set_advisers(lanes_of(number, m_view.partitions(), live));
     }
 
-    // ---- Upper limits ----
-
-    void divide_caps() {
-        cap_sync sync{*m_ports.rows};
-        while (pause(cap_period)) {
-            const auto layout = m_view.layout();
-            if (layout->partitions < 2)
-                continue; // the only partition has all of each limit
-            std::vector<cap_member> members;
-            for (const auto& [number, owned] : partitions()) {
-                if (owned->status() == partition_status::active)
-                    members.push_back({number, owned->epoch(), owned->runs_known(),
-                                       [owned = owned] { return owned->cap_wants(); },
-                                       [owned = owned](std::map<std::string, team_part> parts) {
-                                           owned->set_team_parts(std::move(parts));
-                                       }});
-            }
-            sync.round(*layout, members);
-        }
-    }
-
     // ---- Advice ----
 
     void ask(const advice_question& question, std::function<void(std::optional<advice_reply>)> done) {
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -27,8 +27,6 @@
 /// So many of them without an answer, and none with one, show that the table is out for all.
 constexpr std::size_t outage_witnesses = 4;
 constexpr milliseconds candidates_kept{200};
-/// Owners with which one owner exchanges loads at a time.
-constexpr std::size_t owners_asked = 2;
 /// Refuting a suspicion raises the incarnation by little, a restart by the milliseconds between.
 constexpr std::uint64_t restarted = 200;
 
@@ -125,12 +123,6 @@
         summary.set_owner(owner.owner);
         summary.set_epoch(owner.epoch);
         summary.set_owner_address(owner.address);
-        const auto load = m_loads.all().find(number);
-        if (load == m_loads.all().end())
-            continue;
-        summary.set_wait_ms(load->second.wait.count());
-        summary.set_gang_wait_ms(load->second.gang_wait.count());
-        summary.set_load_age_ms((at - load->second.measured).count());
     }
     return message;
 }
@@ -164,10 +156,6 @@
             continue;
         }
         replace_owner(summary.partition(), {summary.owner(), summary.owner_address(), summary.epoch()});
-        if (summary.has_load_age_ms() && summary.load_age_ms() >= 0)
-            m_loads.learn(summary.partition(),
-                          {milliseconds{summary.wait_ms()}, milliseconds{summary.gang_wait_ms()},
-                           at - milliseconds{summary.load_age_ms()}});
     }
     m_reports[message.from()] = {at, at - milliseconds{message.store_age_ms()}};
     return newer;
@@ -239,59 +227,20 @@
     return found == m_owners.end() ? std::string{} : found->second.address;
 }
 
-cell_view::own_news cell_view::set_own(instant at, const std::map<int, own_partition>& own) {
+cell_view::own_news cell_view::set_own(const std::map<int, std::uint64_t>& own) {
     own_news news;
     const std::lock_guard lock{m_mutex};
     m_owns = !own.empty();
-    for (const auto& [number, partition] : own) {
+    for (const auto& [number, epoch] : own) {
         const auto known = m_owners[number].epoch;
-        news.any = news.any || known < partition.epoch;
-        if (known > partition.epoch)
+        news.any = news.any || known < epoch;
+        if (known > epoch)
             news.deposed.push_back(number);
-        replace_owner(number, {m_owner_name, m_members.self().peer_address(), partition.epoch});
-        m_loads.learn(number, {partition.wait, partition.gang_wait, at});
+        replace_owner(number, {m_owner_name, m_members.self().peer_address(), epoch});
     }
     return news;
 }
 
-std::vector<std::string> cell_view::owners_to_ask() {
-    const std::lock_guard lock{m_mutex};
-    std::vector<std::string> addresses;
-    const auto ask_after = [&](int begin, int end) {
-        for (int number = begin; number < end && addresses.size() < owners_asked; ++number) {
-            const auto owner = m_owners.find(number);
-            if (owner == m_owners.end() || owner->second.address.empty() ||
-                owner->second.address == m_members.self().peer_address())
-                continue;
-            addresses.push_back(owner->second.address);
-            m_last_asked = number;
-        }
-    };
-    if (!m_owns)
-        return addresses;
-    const int last = m_last_asked;
-    ask_after(last + 1, m_layout->partitions);
-    ask_after(0, last + 1);
-    return addresses;
-}
-
-std::optional<int> cell_view::better_partition(instant at, int home, const partition_load& load,
-                                               const pb::job_spec& spec) {
-    const auto layout = this->layout();
-    const auto gang_cpu_milli = widest_gang_cpu_milli(spec);
-    const bool wide = layout->wide_from_cpu_milli > 0 && gang_cpu_milli >= layout->wide_from_cpu_milli;
-    if (wide || load.cpu_milli <= 0)
-        return {};
-    std::chrono::duration<double, std::milli> work{0};
-    for (const auto& step : spec.steps())
-        work +=
-            milliseconds{step.estimate_ms()} * (static_cast<double>(step.count() * step.need().cpu_milli()) /
-                                                static_cast<double>(load.cpu_milli));
-    const std::lock_guard lock{m_mutex};
-    return m_loads.better_than(at, load.wait, alternates_of(*layout, spec.team(), home), work,
-                               gang_cpu_milli > 0);
-}
-
 std::vector<int> cell_view::due_partitions(instant at, const std::set<int>& passed_over, bool unknown_too) {
     std::vector<int> due;
     const std::lock_guard lock{m_mutex};
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "cell/cell_layout.h"
-#include "cell/partition_loads.h"
 #include "cell/succession.h"
 
 #include "medlarhub/membership.h"
@@ -88,18 +87,8 @@
         bool any = false;         ///< another partition has become this node's
         std::vector<int> deposed; ///< partitions that have a later owner elsewhere
     };
-    struct own_partition {
-        std::uint64_t epoch = 0;
-        milliseconds wait{0}; ///< see `partition_load`
-        milliseconds gang_wait{0};
-    };
-    /// Takes note of what this node owns now.
-    own_news set_own(instant at, const std::map<int, own_partition>& own);
-    /// Addresses of the owners to exchange loads with next; to be called once a gossip period.
-    [[nodiscard]] std::vector<std::string> owners_to_ask();
-    /// The partition to which `home`, with that load, hands a new job on; nothing when it keeps it.
-    [[nodiscard]] std::optional<int> better_partition(instant at, int home, const partition_load& load,
-                                                      const pb::job_spec& spec);
+    /// Takes note of what this node owns now, each with its epoch.
+    own_news set_own(const std::map<int, std::uint64_t>& own);
 
     /// The partitions without a live owner that fall to this node. Those of which nothing was ever heard are
     /// among them only if `unknown_too`.
@@ -171,8 +160,6 @@
     instant m_table_heard{};
     bool m_owns = false; ///< this node owns some partition
     std::map<int, owner_view> m_owners;
-    partition_loads m_loads;
-    int m_last_asked = 0;                         ///< partition whose owner was asked for its load last
     std::map<int, instant> m_owner_doubts;        ///< when a probe of the owner was lost last
     std::map<int, head_view> m_heads;             ///< of partitions whose owner may be dead
     std::map<std::string, peer_report> m_reports; ///< by node
--- a/src/cell/layout_keeper.cpp
+++ b/src/cell/layout_keeper.cpp
@@ -1,7 +1,11 @@
 #include "cell/layout_keeper.h"
 
+#include "log.h"
+
 #include "medlarhub/reason.h"
 
+#include <utility>
+
 namespace medlarhub {
 
 namespace {
@@ -17,8 +21,11 @@
     if (rows->empty())
         return true;
     auto layout = parse_layout(rows->front().value);
-    if (!layout)
+    if (!layout) {
+        if (std::exchange(m_unreadable, rows->front().version) != rows->front().version)
+            log_event(log_level::error, "layout_unreadable", {{"reason", last_reason()}});
         return false;
+    }
     m_layout = std::move(*layout);
     m_version = rows->front().version;
     return true;
--- a/src/cell/layout_keeper.h
+++ b/src/cell/layout_keeper.h
@@ -24,7 +24,8 @@
 private:
     table& m_rows;
     cell_layout m_layout;
-    std::int64_t m_version = 0; ///< 0: there is no row
+    std::int64_t m_version = 0;    ///< 0: there is no row
+    std::int64_t m_unreadable = 0; ///< version of the last row that could not be read
 };
 
 } // namespace medlarhub
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -44,9 +44,6 @@
 constexpr milliseconds report_period{1000};
 /// A wait from here on is told each second while most of the processors are free.
 constexpr milliseconds notable_wait{3000};
-/// Between looks at what waits here and could run elsewhere.
-constexpr milliseconds move_period{250};
-constexpr milliseconds move_timeout{2000};
 constexpr double lease_drift = 1.02;
 
 /// Ends of steps come with every job; all other events are rare enough to be logged as a matter of course.
@@ -126,16 +123,6 @@
         locked([&](instant at) {
             if (m_status != partition_status::active)
                 return answer(done, make_job_answer(pb::job_answer::not_owner, "not the owner", usual_retry));
-            const bool asks_state = call.what() == pb::job_call::state;
-            if (asks_state && m_engine->moving(call.id())) {
-                auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
-                made.set_state(pb::job_answer::queued);
-                return answer(done, std::move(made));
-            }
-            if (call.what() == pb::job_call::cancel && m_engine->moving(call.id()))
-                return wait_durable(at, call, call.id(), true, std::move(done));
-            if (call.what() != pb::job_call::submit && m_engine->handed_on(call.id()))
-                return answer(done, final_answer(call.id(), true));
             switch (call.what()) {
             case pb::job_call::submit:
                 return submit(at, call, std::move(done));
@@ -166,10 +153,6 @@
                 return;
             m_engine->tick(at);
             answer_late(at);
-            if (at >= m_next_move) {
-                m_next_move = at + move_period;
-                move_jobs(at);
-            }
             if (at >= m_next_report) {
                 m_next_report = at + report_period;
                 report();
@@ -177,30 +160,6 @@
         });
     }
 
-    std::optional<std::map<std::string, cap_want>> cap_wants() const {
-        const std::lock_guard lock{m_mutex};
-        if (!m_engine || m_status != partition_status::active)
-            return {};
-        return m_engine->cap_wants();
-    }
-
-    bool runs_known() const {
-        const std::lock_guard lock{m_mutex};
-        return m_engine && m_engine->runs_known();
-    }
-
-    void set_team_parts(std::map<std::string, team_part> parts) {
-        locked([&](instant) {
-            if (m_engine)
-                m_engine->set_team_parts(std::move(parts));
-        });
-    }
-
-    partition_load load() const {
-        const std::lock_guard lock{m_mutex};
-        return m_engine && m_status == partition_status::active ? load_at(now()) : partition_load{};
-    }
-
     partition_status status() const {
         const std::lock_guard lock{m_mutex};
         return m_status;
@@ -229,7 +188,6 @@
         std::string job;
         job_callback done;
         instant deadline;
-        bool known_before = false; ///< the job was, when the call came
     };
 
     /// What was decided under the lock and happens after it.
@@ -238,7 +196,6 @@
         milliseconds start_timeout{0};
         std::vector<poll_order> polls;
         std::vector<advice_question> questions;
-        std::vector<job_move> moves;
         std::vector<engine_event> events;
         std::vector<std::function<void()>> answers;
         bool wake = false;
@@ -285,7 +242,6 @@
         if (m_status != partition_status::active)
             return;
         out.questions = m_engine->take_questions();
-        out.moves = m_engine->take_moves(at);
         if (may_command()) {
             out.orders = m_engine->take_orders(at);
             out.start_timeout = m_patience.timeout();
@@ -305,8 +261,6 @@
             poll(order);
         for (const auto& question : out.questions)
             ask(question);
-        for (const auto& each : out.moves)
-            submit_elsewhere(each);
         for (const auto& answer : out.answers)
             answer();
         for (const auto& event : out.events)
@@ -357,49 +311,6 @@
         });
     }
 
-    // ---- Other partitions ----
-
-    /// Hands on jobs that wait here and could run elsewhere.
-    void move_jobs(instant at) {
-        if (!m_environment.better_partition || table_out(at))
-            return;
-        struct choice {
-            std::string job;
-            int partition = 0;
-        };
-        std::vector<choice> chosen;
-        const auto cpu_milli = m_engine->usable_cpu_milli(at);
-        for (const auto& [wait, spec] : m_engine->movable(at)) {
-            if (const auto partition = m_environment.better_partition({wait, wait, cpu_milli}, *spec))
-                chosen.push_back({spec->id(), *partition});
-        }
-        for (const auto& each : chosen)
-            m_engine->move(at, each.job, each.partition);
-    }
-
-    void submit_elsewhere(const job_move& move) {
-        pb::job_call call;
-        call.set_what(pb::job_call::submit);
-        call.set_partition(move.partition);
-        call.set_team(move.spec.team());
-        call.set_queue(move.spec.queue());
-        call.set_id(move.spec.id());
-        call.set_timeout_ms(move_timeout.count());
-        *call.mutable_spec() = move.spec;
-        call.set_handed_on(true);
-        call.set_beyond_rate(move.beyond_rate);
-        call.set_maybe_recorded(true);
-        m_environment.submit_elsewhere(
-            std::move(call), [self = shared_from_this(), id = move.spec.id()](const pb::job_answer& answer) {
-                self->locked([&](instant at) {
-                    if (!self->m_engine)
-                        return;
-                    self->m_engine->moved(at, id, answer.result() == pb::job_answer::ok);
-                    self->answer_durable();
-                });
-            });
-    }
-
     // ---- Callers ----
 
     /// Since when the table fails; unset while it doesn't. A write that it leaves without any answer counts
@@ -425,43 +336,12 @@
         if (const auto fault = fault_of(call.spec()))
             return answer(done, make_job_answer(pb::job_answer::invalid, *fault, 0ms));
         if (m_engine->known(id))
-            return wait_durable(at, call, id, true, std::move(done));
-        if (!call.handed_on() && hand_on(at, call.spec()))
-            return wait_durable(at, call, id, false, std::move(done));
+            return wait_durable(at, call, id, std::move(done));
         const bool accepted_before = call.spec().accepted_ms() != 0;
         if (!accepted_before && refused_for_load(at, call.spec(), done))
             return;
-        if (call.handed_on())
-            (void)m_engine->accept_handed_on(at, call.spec(), call.beyond_rate());
-        else
-            (void)m_engine->accept(at, call.spec());
-        wait_durable(at, call, id, false, std::move(done));
-    }
-
-    /// True when another partition is to keep the job.
-    bool hand_on(instant at, const pb::job_spec& spec) {
-        if (!m_environment.better_partition || !m_engine->may_hand_on(spec))
-            return false;
-        const auto partition = m_environment.better_partition(load_at(at), spec);
-        if (partition)
-            m_engine->hand_on(at, spec, *partition);
-        return partition.has_value();
-    }
-
-    partition_load load_at(instant at) const {
-        return {m_engine->wait_for_room(at), m_engine->wait_of_gangs(at), m_engine->usable_cpu_milli(at)};
-    }
-
-    /// What is answered once all of the job is durable.
-    pb::job_answer final_answer(const std::string& id, bool known_before) const {
-        const auto handed = m_engine->handed_on(id);
-        auto made = make_job_answer(handed ? pb::job_answer::elsewhere : pb::job_answer::ok, {}, 0ms);
-        if (handed) {
-            made.set_partition(handed->partition);
-            made.set_beyond_rate(handed->beyond_rate);
-            made.set_known_before(known_before);
-        }
-        return made;
+        (void)m_engine->accept(at, call.spec());
+        wait_durable(at, call, id, std::move(done));
     }
 
     bool refused_for_load(instant at, const pb::job_spec& spec, const job_callback& done) {
@@ -483,18 +363,13 @@
     void cancel(instant at, const pb::job_call& call, job_callback done) {
         if (!m_engine->cancel(at, call.id()))
             return answer(done, make_job_answer(pb::job_answer::not_found, "no such job", 0ms));
-        wait_durable(at, call, call.id(), true, std::move(done));
+        wait_durable(at, call, call.id(), std::move(done));
     }
 
-    /// Whether callers may be told what became of the job.
-    bool settled(const std::string& id) const { return m_engine->durable(id) && !m_engine->moving(id); }
-
-    void wait_durable(instant at, const pb::job_call& call, const std::string& id, bool known_before,
-                      job_callback done) {
-        if (settled(id))
-            return answer(done, final_answer(id, known_before));
-        m_waiters.push_back(
-            {id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin, known_before});
+    void wait_durable(instant at, const pb::job_call& call, const std::string& id, job_callback done) {
+        if (m_engine->durable(id))
+            return answer(done, make_job_answer(pb::job_answer::ok, {}, 0ms));
+        m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin});
     }
 
     void report() {
@@ -540,9 +415,9 @@
 
     void answer_durable() {
         std::erase_if(m_waiters, [&](const waiter& waiting) {
-            if (!settled(waiting.job))
+            if (!m_engine->durable(waiting.job))
                 return false;
-            answer(waiting.done, final_answer(waiting.job, waiting.known_before));
+            answer(waiting.done, make_job_answer(pb::job_answer::ok, {}, 0ms));
             return true;
         });
     }
@@ -613,7 +488,6 @@
         engine_options options;
         options.epoch = *epoch;
         options.lease = lease_within(m_options.longest_lease);
-        options.partitions = m_options.partitions;
         options.earlier_lease = m_rows.earlier_lease();
         const auto lapse = static_cast<double>(m_rows.earlier_lease().count()) * lease_drift;
         // An earlier owner may command targets until it notices that it isn't the owner any more.
@@ -766,7 +640,6 @@
     call_patience m_patience;               ///< for starts
     std::chrono::nanoseconds m_deciding{0}; ///< time in the engine since the last report
     instant m_next_report{};
-    instant m_next_move{};
     instant m_failing_since{};
     instant m_write_sent{}; ///< of a write that is under way
     std::atomic<bool> m_stopping{false};
@@ -803,18 +676,6 @@
 void owned_partition::depose(std::string_view reason) {
     m_impl->depose(reason);
 }
-std::optional<std::map<std::string, cap_want>> owned_partition::cap_wants() const {
-    return m_impl->cap_wants();
-}
-bool owned_partition::runs_known() const {
-    return m_impl->runs_known();
-}
-void owned_partition::set_team_parts(std::map<std::string, team_part> parts) {
-    m_impl->set_team_parts(std::move(parts));
-}
-partition_load owned_partition::load() const {
-    return m_impl->load();
-}
 bool owned_partition::troubled() const {
     return m_impl->troubled();
 }
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "cell/partition_loads.h"
 #include "cell/ports.h"
 #include "metrics.h"
 
@@ -27,7 +26,6 @@
     std::string owner; ///< this node and its incarnation
     std::string peer_address;
     milliseconds longest_lease{6000}; ///< that targets keep
-    int partitions = 1;               ///< of the cell
 };
 
 /// What an owned partition reaches.
@@ -39,10 +37,6 @@
     std::function<void(const advice_question&, std::function<void(std::optional<advice_reply>)>)> ask;
     /// Whether the table is out for the other nodes too, so that nobody can have taken the partition.
     std::function<bool()> shared_outage;
-    /// The partition to which a job is handed on while this one has that load; nothing when it is kept.
-    std::function<std::optional<int>(const partition_load&, const pb::job_spec&)> better_partition;
-    /// Brings a call to the owner of another partition; answers once.
-    std::function<void(pb::job_call, job_callback)> submit_elsewhere;
 };
 
 /// A partition that this node owns or is about to: the engine with its table rows, its targets and the
@@ -67,14 +61,6 @@
     void call(const pb::job_call& call, job_callback done);
     void tick();
 
-    /// See `job_engine`; empty while the partition isn't active.
-    [[nodiscard]] std::optional<std::map<std::string, cap_want>> cap_wants() const;
-    [[nodiscard]] bool runs_known() const;
-    void set_team_parts(std::map<std::string, team_part> parts);
-
-    /// How full it is; nothing while the partition isn't active.
-    [[nodiscard]] partition_load load() const;
-
     /// Closes it: another node owns the partition by now.
     void depose(std::string_view reason);
 
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -80,10 +80,6 @@
         return "a run ended without being done: " + detail;
     if (line.event == "run_dropped")
         return "gives a run up, its task runs anew: " + detail;
-    if (line.event == "job_handed_on" || line.event == "job_moves")
-        return "hands it on " + detail;
-    if (line.event == "job_moved")
-        return "knows that it is recorded " + detail;
     if (line.event == "run_yields")
         return "stops a run for more urgent work, it goes on later: " + detail;
     if (line.event == "stray_run")
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -11,10 +11,6 @@
 constexpr int hopeless_factor = 3;
 /// From a decision to the start, and from an end until it is known.
 constexpr milliseconds order_time{100};
-/// Below this part of their processors in use, targets have room for what comes.
-constexpr double full_share = 0.6;
-/// The wait while no target can be used.
-constexpr milliseconds no_target_wait{60'000};
 
 /// For each step, the longest chain of estimates from its start to the job's end.
 std::vector<milliseconds> chains_of(const pb::job_spec& spec) {
@@ -37,14 +33,6 @@
 
 } // namespace
 
-bool may_run_anywhere(const pb::job_spec& spec) {
-    // Racks and labels are found where the team's other work finds them.
-    const bool needs_place = std::ranges::any_of(spec.steps(), [](const pb::step_spec& step) {
-        return !step.required_label().empty() || !step.preferred_rack().empty();
-    });
-    return spec.times() == 0 && !needs_place;
-}
-
 resources need_of(const pb::step_spec& step) {
     resources need{step.need().cpu_milli(), step.need().memory_mb(), step.need().accelerators()};
     if (step.fills_spare())
@@ -111,26 +99,16 @@
     return add(at, std::move(spec), beyond_rate);
 }
 
-accept_outcome job_engine::accept_handed_on(instant at, pb::job_spec spec, bool beyond_rate) {
-    if (m_jobs.contains(spec.id()))
-        return accept_outcome::known;
-    if (fault_of(spec))
-        return accept_outcome::invalid;
-    spec.set_moved(true);
-    return add(at, std::move(spec), beyond_rate);
-}
-
 bool job_engine::within_rate(instant at, const std::string& team) const {
     const auto policy = m_config->teams.find(team);
     const auto known = m_rates.find(team);
     return policy == m_config->teams.end() || known == m_rates.end() ||
-           known->second.allows(at, policy->second.jobs_per_second * part_of_team(team).rate);
+           known->second.allows(at, policy->second.jobs_per_second);
 }
 
 bool job_engine::take_rate(instant at, const std::string& team) {
     const auto policy = m_config->teams.find(team);
-    return policy != m_config->teams.end() &&
-           !m_rates[team].take(at, policy->second.jobs_per_second * part_of_team(team).rate);
+    return policy != m_config->teams.end() && !m_rates[team].take(at, policy->second.jobs_per_second);
 }
 
 accept_outcome job_engine::add(instant at, pb::job_spec spec, bool beyond_rate) {
@@ -144,7 +122,6 @@
     job.team = spec.team();
     job.spec = std::move(spec);
     job.beyond_rate = beyond_rate;
-    job.moved = job.spec.moved();
     m_open.insert(id);
     if (job.spec.times() > 0) {
         m_timed.insert(id);
@@ -165,36 +142,10 @@
     m_open.erase(id);
     m_timed.erase(id);
     std::erase(m_ended, id);
-    std::erase(m_elsewhere, id);
     m_jobs.erase(id);
     return true;
 }
 
-void job_engine::hand_on(instant at, const pb::job_spec& spec, int partition) {
-    auto& job = m_jobs[spec.id()];
-    job.spec.set_id(spec.id());
-    job.queue = spec.queue();
-    job.team = spec.team();
-    job.phase = pb::job_progress::elsewhere;
-    job.partition = partition;
-    job.beyond_rate = take_rate(at, spec.team());
-    job.ended_ms = to_ms(at);
-    m_elsewhere.push_back(spec.id());
-    note("job_handed_on", spec.id(), "to partition " + std::to_string(partition));
-    touch(at, job, true);
-}
-
-std::optional<handed_job> job_engine::handed_on(const std::string& id) const {
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end() || found->second.phase != pb::job_progress::elsewhere)
-        return {};
-    return handed_job{found->second.partition, found->second.beyond_rate};
-}
-
-bool job_engine::may_hand_on(const pb::job_spec& spec) const {
-    return may_run_anywhere(spec) && far_from_cap(spec.team());
-}
-
 bool job_engine::cancel(instant at, const std::string& id) {
     auto* job = find(id);
     if (job == nullptr)
@@ -297,21 +248,6 @@
     return capacity;
 }
 
-milliseconds job_engine::wait_for_room(instant at) const {
-    const auto capacity = usable_cpu_milli(at);
-    if (capacity == 0)
-        return no_target_wait;
-    std::int64_t held = 0;
-    for (const auto& [id, target] : m_targets)
-        held += usable(at, target) ? target.held.cpu_milli : 0;
-    if (static_cast<double>(held) < full_share * static_cast<double>(capacity))
-        return {};
-    double waiting = 0;
-    for (const auto& [priority, work] : m_backlog)
-        waiting += work;
-    return milliseconds{static_cast<std::int64_t>(waiting / static_cast<double>(capacity))};
-}
-
 std::optional<milliseconds> job_engine::hopeless_wait(instant at, const pb::job_spec& spec) const {
     const auto queue = m_config->queues.find(spec.queue());
     if (queue == m_config->queues.end() || spec.times() > 0)
@@ -417,7 +353,7 @@
     job.ended_ms = to_ms(at);
     m_open.erase(id);
     m_timed.erase(id);
-    (job.moved ? m_elsewhere : m_ended).push_back(id);
+    m_ended.push_back(id);
     note("job_ended", id, pb::job_progress::phase_Name(phase));
     stop_runs(job);
     touch(at, job, true);
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -2,7 +2,6 @@
 
 #include "jobs/advice_book.h"
 #include "jobs/advice_lanes.h"
-#include "jobs/cap_division.h"
 #include "jobs/cell_config.h"
 #include "jobs/engine_messages.h"
 #include "jobs/gang_room.h"
@@ -27,16 +26,12 @@
 
 struct engine_options {
     std::uint64_t epoch = 1;
-    int partitions = 1;              ///< of the cell, each with an engine of its own
     milliseconds lease{4500};        ///< asked for at each poll and start
     milliseconds poll_wait{1000};    ///< how long a target may hold a poll that has no news
     milliseconds idle_poll{4000};    ///< between polls of a target that runs nothing
     milliseconds retention{135'000}; ///< how long an ended job can be asked for
-    /// How long a job that came from another partition, or left for one, is remembered there; longer than
-    /// jobs usually stay open.
-    milliseconds elsewhere_retention{600'000};
-    milliseconds earlier_lease{0}; ///< the longest that owners before asked for
-    milliseconds unknown_runs{0};  ///< after a takeover, how long a target that isn't reached may run tasks
+    milliseconds earlier_lease{0};   ///< the longest that owners before asked for
+    milliseconds unknown_runs{0};    ///< after a takeover, how long a target that isn't reached may run tasks
 };
 
 /// The jobs of one partition as its owner sees them: accepts, places, follows and ends them. It does no input
@@ -62,33 +57,6 @@
 
     // Callers.
     accept_outcome accept(instant at, pb::job_spec spec);
-    /// Takes a job that another partition of the cell handed on.
-    accept_outcome accept_handed_on(instant at, pb::job_spec spec, bool beyond_rate);
-    /// Remembers that `partition` keeps the job. Once that is durable, the job may be handed on.
-    void hand_on(instant at, const pb::job_spec& spec, int partition);
-    /// Where a job went that was handed on; nothing for all others.
-    [[nodiscard]] std::optional<handed_job> handed_on(const std::string& job) const;
-    /// Accepted jobs of which nothing has started and which another partition could run, those that wait
-    /// longest for room first, with how long they do.
-    [[nodiscard]] std::vector<std::pair<milliseconds, const pb::job_spec*>> movable(instant at) const;
-    /// Has another partition keep a job that `movable` names. Its home remembers that, and answers for it
-    /// until the other one has it.
-    void move(instant at, const std::string& job, int partition);
-    /// Jobs to submit to their new partitions now.
-    [[nodiscard]] std::vector<job_move> take_moves(instant at);
-    /// Tells whether the new partition has recorded the job.
-    void moved(instant at, const std::string& job, bool recorded);
-    /// Whether the job is on its way to another partition.
-    [[nodiscard]] bool moving(const std::string& job) const { return m_moving.contains(job); }
-    /// How long a new gang would wait for those that wait for room: by what the longest has waited, or by
-    /// their work if that is more.
-    [[nodiscard]] milliseconds wait_of_gangs(instant at) const;
-    /// How long a new job waits for room while others of its team don't wait for its limit; 0 while there is
-    /// room.
-    [[nodiscard]] milliseconds wait_for_room(instant at) const;
-    [[nodiscard]] std::int64_t usable_cpu_milli(instant at) const;
-    /// Whether another partition could run the job as well as this one.
-    [[nodiscard]] bool may_hand_on(const pb::job_spec& spec) const;
     /// How long what waits before it takes, in all or under its team's limit, when that is so long that an
     /// end of this job would be worth nothing.
     [[nodiscard]] std::optional<milliseconds> hopeless_wait(instant at, const pb::job_spec& spec) const;
@@ -122,16 +90,10 @@
     /// The nodes through which questions may be asked.
     void set_advisers(std::vector<std::string> nodes);
 
-    // Upper limits of teams.
-    /// What the partition does under the limits of teams that have any work here.
-    [[nodiscard]] std::map<std::string, cap_want> cap_wants() const;
     /// For the log: of some limits that hold work back, what is held, had and needed here.
     [[nodiscard]] std::string describe_limits() const;
     /// False after a takeover while targets that weren't heard yet may run tasks.
     [[nodiscard]] bool runs_known() const { return !m_doubt; }
-    /// The partition's part of each team. With several partitions nothing of a limited team starts before its
-    /// part was told.
-    void set_team_parts(std::map<std::string, team_part> parts);
 
     void tick(instant at);
     /// True once a target refused this owner's epoch.
@@ -197,8 +159,6 @@
         bool started = false;  ///< a task has started
         bool doubtful = false; ///< from before the takeover: its tasks may run where nobody looked yet
         bool beyond_rate = false;
-        int partition = 0;  ///< that keeps it, when it is elsewhere
-        bool moved = false; ///< from another partition
         int next_occurrence = 0;
         int finished_occurrences = 0;
         std::map<int, occurrence_state> occurrences;
@@ -241,6 +201,7 @@
     /// Of a job that is accepted now, for an end that is in time.
     [[nodiscard]] instant latest_start(instant at, const pb::job_spec& spec) const;
     [[nodiscard]] milliseconds allowance_of(const pb::job_spec& spec) const;
+    [[nodiscard]] std::int64_t usable_cpu_milli(instant at) const;
     void open_due_occurrences(instant at, job_state& job);
     void set_ready(job_state& job, int occurrence);
     void task_done(instant at, job_state& job, const task_name& name, int number);
@@ -249,17 +210,12 @@
     void stop_runs(job_state& job);
     void note(std::string what, std::string job, std::string detail);
 
-    // engine_moves.cpp: jobs that leave for another partition.
-    [[nodiscard]] bool never_started(const job_state& job) const;
-    [[nodiscard]] milliseconds wait_for_targets(instant at, const job_state& job) const;
-
     // engine_rows.cpp: what is written and read back.
     void touch(instant at, job_state& job, bool awaited);
     void fill_rows(std::deque<waiting_write>& from, write_room& room, job_rows& to);
     job_rows::row next_row(job_state& job);
     [[nodiscard]] static pb::job_progress progress_of(const job_state& job);
     void forget_old(instant at);
-    void forget_old(instant at, std::deque<std::string>& ended, milliseconds retention);
 
     // engine_targets.cpp and engine_ends.cpp: runs at targets.
     void release(target_state& target, const live_run& run);
@@ -353,7 +309,6 @@
     /// Whether an unwanted run of the task is still on its way out somewhere.
     [[nodiscard]] bool is_stray(const ready_step& ready, std::size_t index) const;
     [[nodiscard]] bool usable(instant at, const target_state& target) const;
-    [[nodiscard]] team_part part_of_team(const std::string& team) const;
     /// After a takeover, the most that teams may have running at targets that weren't heard yet.
     [[nodiscard]] std::map<std::string, resources> most_unheard(instant at) const;
     /// Whether the team may start that much more once `gone` has ended.
@@ -371,8 +326,6 @@
     [[nodiscard]] bool wider_than_cap(const std::string& team, const resources& unit) const;
     /// How much of the team's whole limit that is; 0 without a limit.
     [[nodiscard]] double part_of_cap(const std::string& team, const resources& used) const;
-    /// Whether the team may run far more than it does: elsewhere it would only wait for its limit.
-    [[nodiscard]] bool far_from_cap(const std::string& team) const;
     /// For the log: how much of the limit `unit` needs and what is used of it.
     [[nodiscard]] std::string describe_limit(const std::string& team, const resources& unit) const;
     /// Counts what the team's limit held back in this pass. Work that is wider than the whole limit holds
@@ -396,23 +349,15 @@
     /// What may run beside that, at targets that weren't heard or on its way out, by team, as of the last
     /// pass.
     std::map<std::string, resources> m_unheard;
-    std::set<std::string> m_unknown_use;           ///< teams of which something runs whose need isn't known
-    std::map<std::string, team_part> m_team_parts; ///< by team
-    struct held_back {
-        resources next; ///< what the first work in the order of turns needs at once
-        resources more;
-    };
+    std::set<std::string> m_unknown_use;         ///< teams of which something runs whose need isn't known
     std::map<std::string, instant> m_next_yield; ///< by team
-    std::map<std::string, held_back> m_over_cap; ///< by team, in the last pass
+    /// By team, what the first work that its limit held back in the last pass needs at once.
+    std::map<std::string, resources> m_over_cap;
     /// By team, what the first gang needs that waits for advice or room and not for the limit. Its part is
-    /// kept from work whose turn is later, here and in other partitions, or that would have it by the time
-    /// that there is room.
+    /// kept from work whose turn is later, or that would have it by the time that there is room.
     std::map<std::string, resources> m_claimed;
     std::map<std::string, rate_allowance> m_rates;
-    std::deque<std::string> m_ended;     ///< by time of their end
-    std::deque<std::string> m_elsewhere; ///< jobs that left, and ended ones that came, by that time
-    std::map<std::string, instant>
-        m_moving; ///< jobs that the partition told hasn't recorded, by their next try
+    std::deque<std::string> m_ended; ///< by time of their end
 
     std::vector<advice_question> m_questions;
     advice_lanes m_lanes;
@@ -470,9 +415,6 @@
 /// Why a spec can't be taken, or nothing when it can.
 std::optional<std::string> fault_of(const pb::job_spec& spec);
 
-/// Whether the job needs no targets of a certain kind or place.
-bool may_run_anywhere(const pb::job_spec& spec);
-
 resources need_of(const pb::step_spec& step);
 /// What so many tasks of that need hold together.
 resources times(const resources& need, std::int64_t count);
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -1,4 +1,4 @@
-// Upper limits of teams: what may start under this partition's part of them.
+// Upper limits of teams: what may start under them.
 
 #include "jobs/engine.h"
 
@@ -9,17 +9,11 @@
 
 namespace {
 
-/// From here on a partition has a limit to itself.
-constexpr double whole_share = 0.999;
 /// Between looks at what of a team's work could give way under its limit.
 constexpr milliseconds yield_period{100};
-/// A part of a limit is meant to be whole units of it; this much less is rounding.
-constexpr double unit_rounding = 0.01;
 constexpr std::size_t most_limits_told = 6;
 /// A gang whose turn under the limit has come keeps its part for so long while it asks for advice and room.
 constexpr milliseconds longest_idle_claim{3000};
-/// Of its limit, what a team uses at most while it is far from it.
-constexpr double used_far_from_cap = 0.5;
 
 /// How much of the limit that is, by the resource of which it is most.
 double part_of(const resources& cap, const resources& used) {
@@ -52,13 +46,6 @@
     return {need.cpu_milli * count, need.memory_mb * count, need.accelerators * count};
 }
 
-team_part job_engine::part_of_team(const std::string& team) const {
-    const auto own = m_team_parts.find(team);
-    if (own != m_team_parts.end())
-        return own->second;
-    return m_options.partitions > 1 ? team_part{0, 1.0 / m_options.partitions} : team_part{1, 1};
-}
-
 std::map<std::string, resources> job_engine::most_unheard(instant at) const {
     std::map<std::string, resources> unheard;
     if (!m_doubt || m_unclaimed.empty())
@@ -98,7 +85,6 @@
         return true;
     if (m_unknown_use.contains(team))
         return false;
-    const auto share = part_of_team(team).cap;
     const auto& cap = policy->second.cap;
     const auto found = m_held.find(team);
     auto held = found == m_held.end() ? resources{} : found->second;
@@ -108,11 +94,8 @@
     if (const auto claimed = m_claimed.find(team); claimed != m_claimed.end())
         held += claimed->second;
     const auto fits = [&](std::int64_t limit, std::int64_t used, std::int64_t more) {
-        const auto part =
-            static_cast<std::int64_t>(std::floor(static_cast<double>(limit) * share + unit_rounding));
         // Work that is wider than the whole limit runs alone.
-        const bool alone = used <= 0 && share >= whole_share;
-        return limit <= 0 || more <= 0 || used + more <= part || alone;
+        return limit <= 0 || more <= 0 || used + more <= limit || used <= 0;
     };
     return fits(cap.cpu_milli, held.cpu_milli, need.cpu_milli) &&
            fits(cap.memory_mb, held.memory_mb, need.memory_mb) &&
@@ -141,16 +124,6 @@
     return std::chrono::floor<milliseconds>(ahead);
 }
 
-bool job_engine::far_from_cap(const std::string& team) const {
-    const auto policy = m_config->teams.find(team);
-    const auto held = m_held.find(team);
-    // What waits only behind a gang that keeps the limit without room for it says nothing of the limit.
-    const bool at_cap = m_over_cap.contains(team) && !m_claimed.contains(team);
-    if (policy == m_config->teams.end() || held == m_held.end())
-        return !at_cap;
-    return !at_cap && part_of(policy->second.cap, held->second) < used_far_from_cap;
-}
-
 std::string job_engine::describe_limit(const std::string& team, const resources& unit) const {
     if (wider_than_cap(team, unit))
         return "wider than its team's limit";
@@ -160,17 +133,20 @@
         const auto part = policy == m_config->teams.end() ? 0 : part_of(policy->second.cap, used);
         return std::to_string(std::lround(100 * part)) + " %";
     };
-    return "it needs " + percent(unit) + ", " + percent(held == m_held.end() ? resources{} : held->second) +
-           " of " + std::to_string(std::lround(100 * part_of_team(team).cap)) + " % are held here";
+    auto text = "it needs " + percent(unit) + ", " +
+                percent(held == m_held.end() ? resources{} : held->second) + " are held";
+    if (const auto claimed = m_claimed.find(team); claimed != m_claimed.end())
+        text += ", " + percent(claimed->second) + " kept for a gang";
+    return text;
 }
 
 std::string job_engine::describe_limits() const {
     std::string text;
     std::size_t told = 0;
-    for (const auto& [team, back] : m_over_cap) {
+    for (const auto& [team, next] : m_over_cap) {
         if (++told > most_limits_told)
             break;
-        text += (text.empty() ? "" : "; ") + team + ": " + describe_limit(team, back.next);
+        text += (text.empty() ? "" : "; ") + team + ": " + describe_limit(team, next);
     }
     return text;
 }
@@ -222,45 +198,7 @@
 void job_engine::note_over_cap(const ready_step& ready, const resources& unit, bool is_late) {
     if (wider_than_cap(ready.job->team, unit) && !is_late)
         return;
-    const auto& spec = ready.job->spec.steps(ready.step);
-    const auto& step = step_of(ready);
-    const auto queued = count_queued(step);
-    auto more = times(need_of(spec), queued);
-    auto [found, first] = m_over_cap.try_emplace(ready.job->team);
-    if (first) {
-        found->second.next = unit;
-        more -= unit;
-    }
-    found->second.more += more;
-}
-
-std::map<std::string, cap_want> job_engine::cap_wants() const {
-    std::map<std::string, cap_want> wants;
-    for (const auto& [name, team] : m_config->teams) {
-        const auto running = m_held.find(name);
-        const auto claimed = m_claimed.find(name);
-        const auto back = m_over_cap.find(name);
-        if (!is_limit(team.cap) ||
-            (running == m_held.end() && claimed == m_claimed.end() && back == m_over_cap.end()))
-            continue;
-        auto& want = wants[name];
-        auto held = running == m_held.end() ? resources{} : running->second;
-        if (claimed != m_claimed.end()) {
-            held += claimed->second;
-            want.claimed = part_of(team.cap, claimed->second);
-        }
-        want.held = part_of(team.cap, held);
-        if (back == m_over_cap.end())
-            continue;
-        want.next = part_of(team.cap, back->second.next);
-        want.more = part_of(team.cap, back->second.more);
-    }
-    return wants;
-}
-
-void job_engine::set_team_parts(std::map<std::string, team_part> parts) {
-    m_changed = m_changed || parts != m_team_parts;
-    m_team_parts = std::move(parts);
+    m_over_cap.try_emplace(ready.job->team, unit);
 }
 
 } // namespace medlarhub
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -104,27 +104,6 @@
     std::string detail;
 };
 
-/// A job that another partition is to keep. It is submitted there until that partition has recorded it.
-struct job_move {
-    pb::job_spec spec;
-    int partition = 0;
-    bool beyond_rate = false;
-};
-
-/// Where a job is kept that was handed on to another partition.
-struct handed_job {
-    int partition = 0;
-    bool beyond_rate = false;
-};
-
-/// What a partition has of a team that may have jobs in several.
-struct team_part {
-    double cap = 0;  ///< of its upper limit
-    double rate = 0; ///< of the jobs a second that are its share
-
-    friend bool operator==(const team_part&, const team_part&) = default;
-};
-
 /// The words that logs use.
 std::string_view name_of(order_outcome outcome);
 std::string_view name_of(end_kind how);
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -32,19 +32,14 @@
         job.team = row.team();
         job.ended_ms = row.ended_ms();
         job.finished_occurrences = row.finished_occurrences();
-        job.partition = row.partition();
-        job.moved = row.moved();
         job.version = 1;
         job.durable = 1;
         if (job.phase != pb::job_progress::open)
             ended.emplace_back(job.ended_ms, id);
     }
     std::ranges::sort(ended);
-    for (const auto& [at, id] : ended) {
-        const auto& job = m_jobs.at(id);
-        const bool other = job.moved || job.phase == pb::job_progress::elsewhere;
-        (other ? m_elsewhere : m_ended).push_back(id);
-    }
+    for (const auto& [at, id] : ended)
+        m_ended.push_back(id);
     for (const auto& [id, spec] : specs) {
         auto& job = m_jobs[id];
         job.has_spec_row = true;
@@ -53,11 +48,6 @@
         job.spec = spec;
         job.queue = spec.queue();
         job.team = spec.team();
-        job.moved = spec.moved();
-        if (job.phase == pb::job_progress::elsewhere) {
-            m_moving[id] = {}; // whether the other partition has it isn't known
-            continue;
-        }
         if (job.phase != pb::job_progress::open) {
             job.writing = job.version; // only the spec is left to be dropped
             job.dirty = true;
@@ -127,8 +117,6 @@
     row.set_queue(job.queue);
     row.set_team(job.team);
     row.set_finished_occurrences(job.finished_occurrences);
-    row.set_partition(job.partition);
-    row.set_moved(job.moved);
     if (job.phase != pb::job_progress::open)
         return row;
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -212,8 +200,7 @@
     row.job = job.spec.id();
     const bool ended = job.phase != pb::job_progress::open;
     const bool end_told = ended && !job.urgent && job.writing == job.version;
-    const bool leaving = m_moving.contains(row.job);
-    if (end_told && job.has_spec_row && !leaving) {
+    if (end_told && job.has_spec_row) {
         row.drop_spec = true;
         job.has_spec_row = false;
     } else if (!ended && !job.has_spec_row) {
@@ -224,7 +211,7 @@
     }
     job.writing = job.version;
     job.urgent = false;
-    job.dirty = ended && job.has_spec_row && !leaving;
+    job.dirty = ended && job.has_spec_row;
     if (job.dirty)
         m_dirty.push_back({++m_last_write_number, row.job});
     return row;
@@ -251,21 +238,16 @@
     if (at < m_next_forget)
         return;
     m_next_forget = at + forget_period;
-    forget_old(at, m_ended, m_options.retention);
-    forget_old(at, m_elsewhere, m_options.elsewhere_retention);
-}
-
-void job_engine::forget_old(instant at, std::deque<std::string>& ended, milliseconds retention) {
-    while (!ended.empty() && m_forget.size() < forget_batch) {
-        const auto* job = find(ended.front());
+    while (!m_ended.empty() && m_forget.size() < forget_batch) {
+        const auto* job = find(m_ended.front());
         if (job != nullptr) {
-            if (at - from_ms(job->ended_ms) < retention || job->dirty || job->durable < job->version ||
-                m_moving.contains(ended.front()))
+            if (at - from_ms(job->ended_ms) < m_options.retention || job->dirty ||
+                job->durable < job->version)
                 return;
-            m_forget.push_back(ended.front());
-            m_jobs.erase(ended.front());
+            m_forget.push_back(m_ended.front());
+            m_jobs.erase(m_ended.front());
         }
-        ended.pop_front();
+        m_ended.pop_front();
     }
 }
 
