Count what ended jobs and done gangs still run after a takeover

Callers could see a team over its limit soon after a takeover (QUOTA).

Cause: the first end of a member makes its gang done; the others run on for a moment. A new owner counted neither them nor what a completed job left until it heard their targets, and started the team's next work in their place. Evidence: engine_caps_test, four of its seven rows fail without the change, with up to 1.75 of the limit in use. Ruled out: work of jobs that were never written, and the division of limits (one partition).

Change: the row of an ended job tells what its runs held at its end; a new owner counts that, and members of done gangs of open jobs, within the room of targets that it hasn't heard.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -351,6 +351,8 @@
     const auto id = job.spec.id();
     job.phase = phase;
     job.ended_ms = to_ms(at);
+    if (!m_doubt)
+        job.left = held_by(job);
     m_open.erase(id);
     m_timed.erase(id);
     m_ended.push_back(id);
@@ -367,15 +369,32 @@
             // What ended as done, a gang above all, ends by itself.
             if (step.open == 0)
                 continue;
-            for (std::size_t k = 0; k < step.tasks.size(); ++k) {
-                const task_name name{job.spec.id(), number, static_cast<int>(i), static_cast<int>(k)};
-                for (const auto& target : step.tasks[k].on)
-                    want_stop(m_targets.at(target).runs.at(name.to_string()));
-            }
+            each_run({job.spec.id(), number, static_cast<int>(i), 0}, step,
+                     [&](live_run& run) { want_stop(run); });
         }
     }
 }
 
+template <typename Body>
+void job_engine::each_run(const task_name& step_name, const step_state& step, Body body) {
+    auto name = step_name;
+    for (const auto& task : step.tasks) {
+        for (const auto& target : task.on)
+            body(m_targets.at(target).runs.at(name.to_string()));
+        ++name.index;
+    }
+}
+
+resources job_engine::held_by(const job_state& job) {
+    resources held;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
+            each_run({job.spec.id(), number, static_cast<int>(i), 0}, occurrence.steps[i],
+                     [&](const live_run& run) { held += run.held; });
+    }
+    return held;
+}
+
 void job_engine::tick(instant at) {
     const std::vector<std::string> timed{m_timed.begin(), m_timed.end()};
     for (const auto& id : timed)
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -155,6 +155,7 @@
         std::string queue;
         std::string team;
         std::int64_t ended_ms = 0;
+        std::optional<resources> left; ///< held by its runs when it ended, if all of them were known
         bool has_spec_row = false;
         bool started = false;  ///< a task has started
         bool doubtful = false; ///< from before the takeover: its tasks may run where nobody looked yet
@@ -208,6 +209,10 @@
     void step_done(instant at, job_state& job, int occurrence, int step);
     void end_job(instant at, job_state& job, pb::job_progress::phase phase);
     void stop_runs(job_state& job);
+    /// Calls `body` with each run of the step, by its target.
+    template <typename Body> void each_run(const task_name& step_name, const step_state& step, Body body);
+    /// What all runs of the job hold.
+    [[nodiscard]] resources held_by(const job_state& job);
     void note(std::string what, std::string job, std::string detail);
 
     // engine_rows.cpp: what is written and read back.
--- a/src/jobs/engine_caps.cpp
+++ b/src/jobs/engine_caps.cpp
@@ -63,16 +63,19 @@
         if (!job.doubtful)
             continue;
         for (const auto& [number, occurrence] : job.occurrences) {
-            for (std::size_t i = 0; i < occurrence.steps.size(); ++i)
-                unheard[job.team] +=
-                    times(need_of(job.spec.steps(static_cast<int>(i))), count_queued(occurrence.steps[i]));
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const auto& spec = job.spec.steps(static_cast<int>(i));
+                const auto& step = occurrence.steps[i];
+                // One member's end is that of the gang; the others may run on.
+                const bool gang_done = spec.gang() && step.open == 0;
+                unheard[job.team] += times(need_of(spec), gang_done ? spec.count() : count_queued(step));
+            }
         }
     }
     for (const auto& [id, job] : m_jobs) {
-        const bool stopped =
-            job.phase == pb::job_progress::cancelled || job.phase == pb::job_progress::failed;
-        if (stopped && at - from_ms(job.ended_ms) < m_options.unknown_runs)
-            unheard[job.team] += room;
+        const bool ended = job.phase != pb::job_progress::open;
+        if (ended && at - from_ms(job.ended_ms) < m_options.unknown_runs)
+            unheard[job.team] += job.left.value_or(room);
     }
     for (auto& [team, most] : unheard)
         most = smaller_of(most, room);
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -32,6 +32,8 @@
         job.team = row.team();
         job.ended_ms = row.ended_ms();
         job.finished_occurrences = row.finished_occurrences();
+        if (row.has_left())
+            job.left = resources{row.left().cpu_milli(), row.left().memory_mb(), row.left().accelerators()};
         job.version = 1;
         job.durable = 1;
         if (job.phase != pb::job_progress::open)
@@ -117,6 +119,11 @@
     row.set_queue(job.queue);
     row.set_team(job.team);
     row.set_finished_occurrences(job.finished_occurrences);
+    if (job.left) {
+        row.mutable_left()->set_cpu_milli(job.left->cpu_milli);
+        row.mutable_left()->set_memory_mb(job.left->memory_mb);
+        row.mutable_left()->set_accelerators(job.left->accelerators);
+    }
     if (job.phase != pb::job_progress::open)
         return row;
     for (const auto& [number, occurrence] : job.occurrences) {
--- /dev/null
+++ b/test/engine_caps_test.cpp
@@ -0,0 +1,92 @@
+#include "job_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace medlarhub;
+using namespace medlarhub::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t limit_cpu_milli = 16'000;
+
+pb::step_spec filling_step(bool gang) {
+    auto step = simple_step(4, 4000); // all of the limit, one task to a target
+    step.set_gang(gang);
+    return step;
+}
+
+std::int64_t running_cpu_milli(job_world& world) {
+    std::int64_t running = 0;
+    for (const auto& entry : world.entries())
+        running += world.target(entry.id).held().cpu_milli;
+    return running;
+}
+
+std::int64_t most_running(job_world& world, milliseconds time) {
+    auto most = running_cpu_milli(world);
+    for (milliseconds passed{0}; passed < time; passed += 20ms) {
+        world.run_for(20ms);
+        most = std::max(most, running_cpu_milli(world));
+    }
+    return most;
+}
+
+std::vector<std::string> busy_targets(job_world& world) {
+    std::vector<std::string> found;
+    for (const auto& entry : world.entries()) {
+        if (!world.target(entry.id).running().empty())
+            found.push_back(entry.id);
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a new owner counts members that run on after their gang is done", "[engine][caps][recovery]") {
+    struct row {
+        const char* name;
+        bool done;            ///< a member has ended before the takeover
+        bool later_step;      ///< the job isn't over, only its gang is
+        milliseconds silence; ///< of the targets of the other members, from the takeover on
+        milliseconds watched{3000};
+    };
+    const auto given = GENERATE(row{"all run, until the first ends", false, false, 2s, 1200ms},
+                                row{"the first ends after the takeover", false, false, 2s},
+                                row{"done, heard at once", true, false, 0ms},
+                                row{"a later step, heard at once", true, true, 0ms},
+                                row{"done, heard late", true, false, 2s},
+                                row{"a later step, heard late", true, true, 2s},
+                                row{"done, one poll is vain", true, false, 60ms});
+    INFO(given.name);
+    job_world world{{.targets = 8, .work = 3s}, 91};
+    world.set_config([](cell_config& config) { config.teams.at("orchard").cap.cpu_milli = limit_cpu_milli; });
+    world.run_for(100ms);
+    for (const auto& id : {"t1", "t2", "t3"}) // their members start later
+        world.silence(id, 400ms);
+    auto gang = simple_job("gang", {filling_step(true)});
+    if (given.later_step) {
+        auto& later = *gang.add_steps();
+        later = simple_step(1, 100);
+        later.mutable_need()->set_memory_mb(100'000); // wider than any target
+    }
+    world.submit(gang);
+    world.run_for(1200ms);
+    REQUIRE(busy_targets(world).size() == 4);
+    while (given.done && busy_targets(world).size() == 4)
+        world.run_for(20ms);
+    world.run_for(60ms); // the owner hears of the first end
+    const auto left = busy_targets(world);
+    REQUIRE(left.size() == (given.done ? 3U : 4U));
+    if (!given.done || given.later_step)
+        world.run_for(200ms); // progress is written lazily
+    for (const auto& id : left) {
+        if (id != "t0" && given.silence > 0ms)
+            world.silence(id, given.silence);
+    }
+    world.take_over();
+    world.submit(simple_job("next", {filling_step(false)}));
+    CHECK(most_running(world, given.watched) <= limit_cpu_milli);
+    world.run_for(12s);
+    CHECK(world.owner().state("next") == pb::job_answer::completed);
+}
