Leave a partition to others on a node that just got one

Cause: when the table turns nodes away, each owner among them asks an heir by itself; two asked the same one within 0.3 s, which then owned two of four partitions until 8.4 s. Ruled out: the burst alone (no refusals once it was over at two owners).

Change: the request names how many partitions the sender knows the node to own; a node that owns more by now declines, and the sender asks the next one.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <limits>
 #include <mutex>
 #include <thread>
 
@@ -182,10 +183,9 @@
 
     pb::take_reply on_take(const pb::take_request& request) override {
         pb::take_reply reply;
-        if (!m_leaving) {
-            take(request.partition());
-            reply.set_taken(true);
-        }
+        const auto most_owned =
+            request.has_most_owned() ? request.most_owned() : std::numeric_limits<int>::max();
+        reply.set_taken(take(request.partition(), most_owned));
         return reply;
     }
 
@@ -540,10 +540,12 @@
             take(number);
     }
 
-    void take(int number) {
+    /// False when nothing changes: this node leaves, has the partition, or owns more than that, while others
+    /// may be free.
+    bool take(int number, int most_owned = std::numeric_limits<int>::max()) {
         const auto layout = m_view.layout();
         if (number < 0 || number >= layout->partitions)
-            return;
+            return false;
         owned_partition_options options;
         options.number = number;
         options.owner = m_view.owner_name();
@@ -562,8 +564,9 @@
         std::optional<std::vector<target_entry>> targets;
         {
             const std::lock_guard lock{m_mutex};
-            if (m_leaving || m_stopping || !m_owned.emplace(number, owned).second)
-                return;
+            const auto owns = static_cast<int>(m_owned.size()) - static_cast<int>(m_owned.contains(number));
+            if (m_leaving || m_stopping || owns > most_owned || !m_owned.emplace(number, owned).second)
+                return false;
             declared = m_declared;
             if (m_targets_known && covers(*layout, m_targets))
                 targets = slice_of(*layout, m_targets, number);
@@ -574,6 +577,7 @@
         if (targets)
             owned->set_targets(*targets);
         owned->start();
+        return true;
     }
 
     void drop_closed() {
@@ -629,10 +633,13 @@
             const auto heir = m_view.heir_with_table(at, number, asked);
             if (!heir)
                 continue;
-            m_asked_heirs[{number, heir->id()}] = at;
+            const auto& member = heir->member;
+            m_asked_heirs[{number, member.id()}] = at;
             log_event(log_level::info, "heir_asked",
-                      {{"partition", std::to_string(number)}, {"heir", heir->id()}});
-            ask_to_take(heir->peer_address(), number);
+                      {{"partition", std::to_string(number)},
+                       {"heir", member.id()},
+                       {"owned", std::to_string(heir->owned)}});
+            ask_to_take(member.peer_address(), number, heir->owned);
         }
     }
 
@@ -641,9 +648,11 @@
             ask_to_take(heir->peer_address(), number);
     }
 
-    void ask_to_take(const std::string& address, int number) {
+    void ask_to_take(const std::string& address, int number, std::optional<int> most_owned = {}) {
         pb::take_request request;
         request.set_partition(number);
+        if (most_owned)
+            request.set_most_owned(*most_owned);
         m_peers.take(address, request, take_timeout, [](peer_delivery, const pb::take_reply&) {});
     }
 
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -285,8 +285,8 @@
     return heir == m_node ? std::nullopt : m_members.find(heir);
 }
 
-std::optional<pb::member> cell_view::heir_with_table(instant at, int partition,
-                                                     const std::set<std::string>& asked) {
+std::optional<cell_view::table_heir> cell_view::heir_with_table(instant at, int partition,
+                                                                const std::set<std::string>& asked) {
     const std::lock_guard lock{m_mutex};
     auto live = candidates(at);
     std::erase_if(live, [&](const candidate_owner& each) { return asked.contains(each.node); });
@@ -294,7 +294,8 @@
     const auto found = std::ranges::find(live, heir, &candidate_owner::node);
     if (found == live.end() || !found->hears_table || heir == m_node)
         return {};
-    return m_members.find(heir);
+    const auto member = m_members.find(heir);
+    return member ? std::optional{table_heir{*member, found->owned}} : std::nullopt;
 }
 
 std::optional<cell_view::partition_move> cell_view::better_owner(instant at, const std::set<int>& own) {
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -101,8 +101,12 @@
 
     /// The node that comes after this one as the owner; empty when there is none.
     [[nodiscard]] std::optional<pb::member> heir_of(instant at, int partition);
+    struct table_heir {
+        pb::member member;
+        int owned = 0; ///< partitions, as far as is known
+    };
     /// The same, but it hears from the table and isn't among `asked`.
-    [[nodiscard]] std::optional<pb::member> heir_with_table(instant at, int partition,
+    [[nodiscard]] std::optional<table_heir> heir_with_table(instant at, int partition,
                                                             const std::set<std::string>& asked);
 
     struct partition_move {
