Test that an heir is named with what it owns

Without that figure the asked node can't tell whether it was chosen by what is true; the check that declines compares the two under the lock of what it owns.

--- a/test/cell_view_test.cpp
+++ b/test/cell_view_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace medlarhub;
 using namespace std::chrono_literals;
@@ -223,3 +224,19 @@
     with.pass(kept);
     CHECK_FALSE(watches());
 }
+
+TEST_CASE("an heir is named with what it is known to own, so that it can decline", "[view][recovery]") {
+    viewer with;
+    with.view.learn_node(with.at, node("large", 5000));
+    const auto heir = [&](const std::set<std::string>& asked) {
+        with.pass(milliseconds{250}); // longer than candidates are kept
+        return with.view.heir_with_table(with.at, 0, asked);
+    };
+    REQUIRE(heir({}));
+    CHECK(heir({})->member.id() == "large");
+    CHECK(heir({})->owned == 0);
+    with.view.learn_owner(1, {owner_of("large"), "large:1", 3});
+    CHECK(heir({})->owned == 1);
+    const auto next = heir({"large"});
+    CHECK((!next || next->member.id() != "large"));
+}
