--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -317,7 +317,8 @@
 
 
 class Worker:
-    """A worker without an admission check. The spec of a job is JSON: `ms` is how long a task works."""
+    """A worker without an admission check. The spec of a job is JSON: `ms` is how long a task works, and with
+    `first_run_fails` each task fails in its first run, by its own fault."""
 
     def __init__(self, world, name, address, zone, labels, cpu, mem=65536):
         self.world = world
@@ -451,13 +452,13 @@
         run = Run(self, task, number, body.get("spec", ""))
         self.running[task] = run
         self.world.started(run)
-        run.timer = asyncio.get_running_loop().call_later(self.work_of(run), self.finish, run, "done")
+        spec = json.loads(run.spec)
+        first = len(self.world.runs[task]) == 1
+        how = "failed" if first and spec.get("first_run_fails") else "done"
+        work = spec.get("ms", 100) / 1000
+        run.timer = asyncio.get_running_loop().call_later(work, self.finish, run, how)
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
-    @staticmethod
-    def work_of(run):
-        return json.loads(run.spec).get("ms", 100) / 1000
-
     def run_stop(self, body):
         task, number = body["task"], body["run"]
         known = self.running.get(task)
@@ -568,9 +569,9 @@
     def store_address(self):
         return f"{self.net}200:{self.base + 31}"
 
-    def config(self):
+    def config(self, version=1, routes=None):
         return {
-            "version": 1, "routes": [self.queue],
+            "version": version, "routes": [self.queue] if routes is None else routes,
             "services": [{"name": "wax-orders", "admission_check": False}],
             "limits": {"max_body_bytes": 262144, "max_header_bytes": 16384},
             "tenants": [{"name": "t1", "api_keys": [self.key], "weight": 1000, "cap": {}}],
@@ -633,13 +634,13 @@
         return {"Host": self.queue["host"], "Authorization": f"Bearer {self.key}",
                 "X-Medlarhub-Deadline-Ms": "3000"}
 
-    async def call(self, method, job, body=None, attempts=5, node=None):
+    async def call(self, method, job, body=None, attempts=5, node=None, queue=None):
         """A client's call with its retries at other nodes: 429, 503 and no answer are sent again."""
+        path = (queue or self.queue)["path_prefix"] + job
         answer = None
         for attempt in range(attempts):
             index = node if node is not None else random.randrange(self.node_count)
-            answer = await ask(self.front(index), method, self.queue["path_prefix"] + job, self.headers(),
-                               body, 3.0)
+            answer = await ask(self.front(index), method, path, self.headers(), body, 3.0)
             self.record(f"{method} {job} at node {index}: {answer}")
             if answer and answer[0] not in (429, 502, 503, 504):
                 return answer
