--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 TOP = pathlib.Path(__file__).resolve().parents[2]
@@ -705,6 +706,10 @@
         except CannotRun as error:
             world.record.say(f"RESULT: the case couldn't run: {error}")
             return 2
+        except Exception:  # a fault of the script or of the machine must not be taken for a broken rule
+            traceback.print_exc()
+            world.record.say("RESULT: the case couldn't run")
+            return 2
         finally:
             world.stop()
 
