Count what an occurrence ran before it was recorded

Cause: an occurrence that becomes due is opened in memory and named by the progress row only with the next change. A new owner's targets answer before its first tick opens the others: their ends belonged to no step, were passed over and then acknowledged; runs were taken for strays and stopped. An occurrence that no row names was taken for one of which nothing had run.

Change: a target's report of a task opens its occurrence. Occurrences may thus be known out of order; next_occurrence passes over them. Nothing starts before its occurrence is due by the present owner's clock, since the owner before may have had a faster one. After a takeover, the occurrences of a row are late by their own due time, not by the job's acceptance.

Ruled out: opening what is due before the targets are asked; it fails when the new owner's clock is behind.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -116,7 +116,6 @@
     const bool is_new = spec.accepted_ms() == 0;
     if (is_new)
         spec.set_accepted_ms(to_ms(at));
-    const auto accepted = from_ms(spec.accepted_ms());
     auto& job = m_jobs[id];
     job.queue = spec.queue();
     job.team = spec.team();
@@ -127,7 +126,7 @@
         m_timed.insert(id);
         open_due_occurrences(at, job);
     } else {
-        open_occurrence(accepted, job, 0, nullptr);
+        open_occurrence(job, 0, nullptr);
     }
     mark_for_write(at, job, true);
     m_changed = true;
@@ -192,19 +191,22 @@
 
 // ---- Occurrences, steps, ends ----
 
-void job_engine::open_occurrence(instant at, job_state& job, int number,
-                                 const pb::occurrence_progress* from) {
+void job_engine::open_occurrence(job_state& job, int number, const pb::occurrence_progress* from) {
     auto& made = job.occurrences[number];
     const auto& spec = job.spec;
     made.steps.resize(static_cast<std::size_t>(spec.steps_size()));
     made.open_steps = made.steps.size();
     for (int i = 0; i < spec.steps_size(); ++i) {
+    const auto due = spec.times() > 0 ? due_time(spec, number) : from_ms(spec.accepted_ms());
         auto& step = made.steps[static_cast<std::size_t>(i)];
         step.tasks.resize(static_cast<std::size_t>(spec.steps(i).count()));
         step.open_tasks = step.tasks.size();
         if (from == nullptr || i >= from->steps_size())
             continue;
         const auto& known = from->steps(i);
+        // An earlier owner, by its own clock, may have opened the occurrence before it is due by this one.
+        for (auto& task : step.tasks)
+            task.not_before = spec.times() > 0 ? due : instant{};
         step.gang_failed_runs.assign(known.gang_failed_runs().begin(), known.gang_failed_runs().end());
         step.gang_saved_state = known.gang_saved();
         for (int k = 0; k < known.tasks_size() && k < spec.steps(i).count(); ++k) {
@@ -223,8 +225,8 @@
         auto& sort_key = made.steps[i].sort_key;
         sort_key.exceeds_team_rate = job.exceeds_team_rate;
         sort_key.priority = queue == m_config->queues.end() ? 0 : queue->second.priority;
-        sort_key.due = at + allowed - chains[i] - command_time;
-        sort_key.latest_useful_start = at + useful_goal_factor * allowed - chains[i] - command_time;
+        sort_key.due = due + allowed - chains[i] - command_time;
+        sort_key.latest_useful_start = due + useful_goal_factor * allowed - chains[i] - command_time;
     }
     set_ready(job, number);
 }
@@ -268,12 +270,12 @@
 
 void job_engine::open_due_occurrences(instant at, job_state& job) {
     const auto& spec = job.spec;
-    while (job.next_occurrence < spec.times()) {
-        const auto due = from_ms(spec.start_at_ms() + job.next_occurrence * spec.interval_ms());
-        if (due > at)
+    for (; job.next_occurrence < spec.times(); ++job.next_occurrence) {
+        if (job.occurrences.contains(job.next_occurrence))
+            continue;
+        if (due_time(spec, job.next_occurrence) > at)
             return;
-        open_occurrence(due, job, job.next_occurrence, nullptr);
-        ++job.next_occurrence;
+        open_occurrence(job, job.next_occurrence, nullptr);
         m_changed = true;
     }
     m_timed.erase(spec.id());
@@ -282,6 +284,10 @@
 void job_engine::set_ready(job_state& job, int occurrence) {
     auto& steps = job.occurrences.at(occurrence).steps;
     for (std::size_t i = 0; i < steps.size(); ++i) {
+instant job_engine::due_time(const pb::job_spec& spec, int occurrence) {
+    return from_ms(spec.start_at_ms() + occurrence * spec.interval_ms());
+}
+
         const auto& after = job.spec.steps(static_cast<int>(i)).after();
         steps[i].ready = std::ranges::all_of(
             after, [&](int earlier) { return steps[static_cast<std::size_t>(earlier)].open_tasks == 0; });
@@ -307,6 +313,18 @@
 void job_engine::task_done(instant at, job_state& job, const task_name& name, int number) {
     auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
     auto& task = step.tasks[static_cast<std::size_t>(name.index)];
+job_engine::step_state* job_engine::find_reported_step(const task_name& name, job_state** job) {
+    auto* found = find(name.job);
+    const bool may_be_unrecorded = found != nullptr && found->phase == pb::job_progress::open &&
+                                   name.occurrence < found->spec.times() &&
+                                   !found->occurrences.contains(name.occurrence);
+    if (may_be_unrecorded) {
+        open_occurrence(*found, name.occurrence, nullptr);
+        add_event("occurrence_found", name.job, std::to_string(name.occurrence));
+    }
+    return find_step(name, job);
+}
+
     if (task.done)
         return;
     const bool gang = job.spec.steps(name.step).gang();
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -174,7 +174,7 @@
         bool started = false;     ///< a task has started
         bool unconfirmed = false; ///< since the takeover: its tasks may run at targets that haven't answered
         bool exceeds_team_rate = false;
-        int next_occurrence = 0;
+        int next_occurrence = 0; ///< the first that isn't open; later ones may be
         int finished_occurrences = 0;
         std::map<int, occurrence_state> occurrences;
         std::uint64_t version = 0; ///< of the state that callers may see
@@ -210,7 +210,10 @@
     /// Counts a job of the team. Returns true if it is beyond the team's rate.
     bool count_against_rate(instant at, const std::string& team);
     step_state* find_step(const task_name& name, job_state** job);
-    void open_occurrence(instant at, job_state& job, int number, const pb::occurrence_progress* from);
+    /// Like `find_step`, for a task that a target reports. Such a report shows that an earlier owner opened
+    /// the task's occurrence, whether or not that was recorded, so the occurrence is opened if it isn't yet.
+    step_state* find_reported_step(const task_name& name, job_state** job);
+    void open_occurrence(job_state& job, int number, const pb::occurrence_progress* from);
     /// The time that work of the job's team ahead of it takes, if the team uses its whole limit.
     [[nodiscard]] milliseconds wait_under_team_limit(instant at, const pb::job_spec& spec,
                                                      int priority) const;
@@ -221,6 +224,7 @@
     [[nodiscard]] milliseconds allowed_turnaround_of(const pb::job_spec& spec) const;
     [[nodiscard]] std::int64_t usable_cpu_milli(instant at) const;
     void open_due_occurrences(instant at, job_state& job);
+    [[nodiscard]] static instant due_time(const pb::job_spec& spec, int occurrence);
     void set_ready(job_state& job, int occurrence);
     void task_done(instant at, job_state& job, const task_name& name, int number);
     void step_done(instant at, job_state& job, int occurrence, int step);
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -101,7 +101,7 @@
         release(target, run);
     }
     job_state* job = nullptr;
-    auto* step = find_step(*name, &job);
+    auto* step = find_reported_step(*name, &job);
     if (step == nullptr || job->phase != pb::job_progress::open)
         return;
     auto& task = step->tasks[static_cast<std::size_t>(name->index)];
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -60,18 +60,14 @@
         job.unconfirmed = true;
         m_open.insert(id);
         const auto row = progress.find(id);
-        const auto at = from_ms(spec.accepted_ms());
         if (row != progress.end()) {
-            for (const auto& occurrence : row->second.occurrences()) {
-                open_occurrence(at, job, occurrence.number(), &occurrence);
-                job.next_occurrence = std::max(job.next_occurrence, occurrence.number() + 1);
-            }
-            job.next_occurrence = std::max(job.next_occurrence, job.finished_occurrences);
+            for (const auto& occurrence : row->second.occurrences())
+                open_occurrence(job, occurrence.number(), &occurrence);
         }
         if (spec.times() > 0)
             m_timed.insert(id);
         else if (job.occurrences.empty())
-            open_occurrence(at, job, 0, nullptr);
+            open_occurrence(job, 0, nullptr);
     }
     // An open job always has a spec row: the spec is written first and removed after the end.
     std::erase_if(m_jobs, [](const auto& entry) {
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -416,7 +416,7 @@
 
 bool job_engine::adopt(instant at, target_state& target, const task_name& name, const reported_run& run) {
     job_state* job = nullptr;
-    auto* step = find_step(name, &job);
+    auto* step = find_reported_step(name, &job);
     if (step == nullptr || job->phase != pb::job_progress::open || !job->unconfirmed ||
         run.run > next_run_number(0) - 1)
         return false;
--- /dev/null
+++ b/test/engine_reports_test.cpp
@@ -0,0 +1,73 @@
+#include "job_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace medlarhub;
+using namespace medlarhub::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant start{std::chrono::hours{1000}};
+
+pb::job_spec scheduled_job(instant first, milliseconds interval, int times, int tasks) {
+    auto spec = simple_job("j", {simple_step(tasks, 500)});
+    spec.set_times(times);
+    spec.set_interval_ms(interval.count());
+    spec.set_start_at_ms(to_ms(first));
+    return spec;
+}
+
+poll_result answer_of(const standin::job_target& target) {
+    poll_result result;
+    result.outcome = command_outcome::done;
+    result.clock_ms = 1000;
+    result.born_ms = target.entry().born_ms;
+    return result;
+}
+
+/// The tasks of starts and stops.
+std::vector<std::string> commanded_tasks(job_engine& engine, instant at) {
+    engine.tick(at);
+    std::vector<std::string> tasks;
+    for (const auto& command : engine.take_commands(at))
+        tasks.push_back(command.task.to_string());
+    std::ranges::sort(tasks);
+    return tasks;
+}
+
+} // namespace
+
+// Guards against a new owner that drops, and later acknowledges, ends of an occurrence that no row names yet,
+// or stops its runs; against occurrences that never run because a later one was found first; and early
+// starts.
+TEST_CASE("a takeover counts what an occurrence ran before it was recorded", "[engine][recovery][times]") {
+    struct row {
+        const char* name;
+        bool ended;
+    };
+    const auto given = GENERATE(row{"a task has ended", true}, row{"a task runs", false});
+    INFO(given.name);
+    const standin::job_target target{"t0", {4000, 64'000, 0}, start};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    auto spec = scheduled_job(start + 1s, 1s, 3, 2);
+    spec.set_accepted_ms(to_ms(start));
+    job_engine engine{{.epoch = 2, .max_unknown_run_time = 7s}};
+    engine.set_config(config);
+    engine.restore({{"j", spec}}, {});
+    engine.restore_roster(start, {"t0"});
+    engine.set_targets(start, {target.entry()});
+    const auto polls = engine.take_polls(start);
+    REQUIRE(polls.size() == 1);
+    auto answer = answer_of(target);
+    if (given.ended)
+        answer.ended = {{1, "j.2.0.0", 1, end_kind::done, {}}};
+    else
+        answer.running = {{"j.2.0.0", 1, {}, 1.0}};
+    engine.handle_poll_result(start, start, polls.front(), answer);
+    CHECK(commanded_tasks(engine, start + 900ms).empty());
+    CHECK(commanded_tasks(engine, start + 1100ms) == std::vector<std::string>{"j.0.0.0", "j.0.0.1"});
+    CHECK(commanded_tasks(engine, start + 2100ms) == std::vector<std::string>{"j.1.0.0", "j.1.0.1"});
+    CHECK(commanded_tasks(engine, start + 3100ms) == std::vector<std::string>{"j.2.0.1"});
+}
