Take a run for gone only when its target's lists are complete

Cause: a target lists its first 500 unacknowledged ends, and ends are acknowledged once they are recorded. A run that was in neither list was taken for one whose end was never reported, was stopped, and its task was placed again.

Change: the translation tells whether the lists of an answer are complete, relays pass it on (absent: not complete), and only a complete answer shows that a run is gone.

Related paths: a new owner took a target's first answer for all that it runs; a target now counts as known after a complete list, or when its lease has expired. When all that was listed is recorded and no row is to be written, acknowledgements went out with no write, so that the rest of the list stayed out of sight; all ends seen are acknowledged then. Such a target could also count as idle for 4 s.

--- a/src/cell/command_wire.cpp
+++ b/src/cell/command_wire.cpp
@@ -47,6 +47,7 @@
     auto wire = to_wire(result.outcome);
     wire.set_clock_ms(result.clock_ms);
     wire.set_born_ms(result.born_ms);
+    wire.set_complete(result.complete);
     for (const auto& run : result.running) {
         auto& to = *wire.add_running();
         to.set_task(run.task);
@@ -107,6 +108,7 @@
     result.outcome = outcome_from_wire(wire);
     result.clock_ms = wire.clock_ms();
     result.born_ms = wire.born_ms();
+    result.complete = wire.complete();
     for (const auto& run : wire.running())
         result.running.push_back({run.task(), run.run(), run.saved(), run.usage()});
     constexpr auto last = static_cast<int>(end_kind::gang_incomplete);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -425,6 +425,7 @@
     return_surplus_targets(at);
     if (at >= m_next_pass) { // tickets expire, and retry delays and due times pass, without an event
         m_next_pass = at + pass_period;
+    acknowledge_recorded_ends();
         m_changed = true;
     }
     schedule(at);
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -258,6 +258,8 @@
     void fill_rows(std::deque<waiting_write>& from, transaction_budget& budget, job_rows& to);
     job_rows::row next_row(job_state& job);
     [[nodiscard]] static pb::job_progress progress_of(const job_state& job);
+    /// Acknowledges all ends that were seen if no change waits to be written, since no write does it then.
+    void acknowledge_recorded_ends();
     void forget_old(instant at);
 
     // engine_targets.cpp and engine_ends.cpp: runs at targets.
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -206,6 +206,7 @@
     for (const auto& id : m_open) {
         auto& job = m_jobs.at(id);
         const auto& steps = job.spec.steps();
+    target.listed_all = false;
         const bool gangs =
             std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.gang(); });
         if (job.unconfirmed && gangs)
@@ -214,11 +215,22 @@
 }
 
 void job_engine::finish_recovery(instant at) {
-    if (!m_recovering || (!m_unconfirmed_targets.empty() && at < m_recovery_ends))
+    if (!m_recovering)
         return;
+    std::size_t not_reached = 0;
+    if (at >= m_recovery_ends) {
+        // The leases of targets that answered have been renewed since, so these must list all they have.
+        not_reached = std::erase_if(m_unconfirmed_targets, [&](const std::string& id) {
+            const auto target = m_targets.find(id);
+            return target == m_targets.end() || !target->second.contacted;
+        });
+    }
+    if (!m_unconfirmed_targets.empty())
+        return;
+        if (expired)
+            m_unconfirmed_targets.erase(it->first);
     m_recovering = false;
-    add_event("runs_known", {}, std::to_string(m_unconfirmed_targets.size()) + " targets not reached");
-    m_unconfirmed_targets.clear();
+    add_event("runs_known", {}, std::to_string(not_reached) + " targets not reached");
     for (const auto& id : m_open) {
         auto& job = m_jobs.at(id);
         if (!job.unconfirmed)
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -79,6 +79,9 @@
     command_outcome outcome = command_outcome::lost;
     std::int64_t clock_ms = 0;
     std::int64_t born_ms = 0; ///< 0 if not reported
+    /// Both lists are whole, so that a run in neither of them is gone or was never started. A target lists
+    /// only its first ends when there are many.
+    bool complete = false;
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
 };
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -265,4 +265,11 @@
     }
 }
 
+void job_engine::acknowledge_recorded_ends() {
+    if (m_rows_in_write || !m_urgent.empty() || !m_dirty.empty())
+        return;
+    for (auto& [id, target] : m_targets)
+        target.acked_upto = std::max(target.acked_upto, target.seen_upto);
+}
+
 } // namespace medlarhub
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -238,6 +238,7 @@
     if (outcome == command_outcome::other_target) {
         drop_all(at, target, "another target answers there", true);
         target.contacted = false;
+        target.listed_all = false;
         return;
     }
     drop_run(at, target, text, "the start was refused");
@@ -319,6 +320,7 @@
         if (dead || result.outcome == command_outcome::other_target) {
             drop_all(at, target, dead ? "its process is gone" : "another target answers there", true);
             target.contacted = false;
+            target.listed_all = false;
             m_unconfirmed_targets.erase(command.target);
         }
         schedule(at);
@@ -349,10 +351,14 @@
                                                         : m_options.earlier_lease;
         target.granted_ms = std::max(target.granted_ms, target.clock_ms + earlier.count());
         m_changed = true;
+    }
+    if (result.complete && !target.listed_all) {
+        target.listed_all = true;
         m_unconfirmed_targets.erase(command.target);
         finish_recovery(at);
     }
-    const bool idle = target.runs.empty() && target.orphans.empty() && target.acked_upto >= target.seen_upto;
+    const bool idle = result.complete && target.runs.empty() && target.orphans.empty() &&
+                      target.acked_upto >= target.seen_upto;
     target.was_idle = idle && result.running.empty() && result.ended.empty();
     target.next_poll = at + (idle ? m_options.idle_poll : poll_spacing);
     m_stop_may_be_due = m_stop_may_be_due || !target.orphans.empty();
@@ -378,6 +384,8 @@
                 run.saved_state = found->second->saved;
             continue;
         }
+        if (!result.complete)
+            continue; // its end may be among those that aren't listed yet
         if (run.stop_confirmed != instant{} && run.stop_confirmed < sent)
             gone.push_back(text);
         else if (run.phase == run_phase::running && run.confirmed_at < sent)
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -247,12 +247,15 @@
     result.outcome = command_outcome::done;
     result.clock_ms = 12;
     result.born_ms = 13;
+    result.complete = true;
     result.running = {{"j.0.0.1", 2, "s", 0.5}};
     result.ended = {{3, "j.0.0.2", 4, end_kind::gang_incomplete, "t"}};
     auto wire = to_wire(result);
     const auto decoded_result = result_from_wire(wire);
     CHECK(decoded_result.clock_ms == 12);
     CHECK(decoded_result.born_ms == 13);
+    CHECK(decoded_result.complete);
+    CHECK_FALSE(result_from_wire(to_wire(command_outcome::done)).complete);
     REQUIRE(decoded_result.running.size() == 1);
     CHECK(decoded_result.running[0].usage == 0.5);
     REQUIRE(decoded_result.ended.size() == 1);
--- a/test/engine_reports_test.cpp
+++ b/test/engine_reports_test.cpp
@@ -22,6 +22,7 @@
     poll_result result;
     result.outcome = command_outcome::done;
     result.clock_ms = 1000;
+    result.complete = true;
     result.born_ms = target.entry().born_ms;
     return result;
 }
@@ -71,3 +72,28 @@
     CHECK(commanded_tasks(engine, start + 2100ms) == std::vector<std::string>{"j.1.0.0", "j.1.0.1"});
     CHECK(commanded_tasks(engine, start + 3100ms) == std::vector<std::string>{"j.2.0.1"});
 }
+
+// Guards against runs that are started again because their ends didn't fit in the target's list.
+TEST_CASE("a run whose end isn't listed yet is not taken for gone", "[engine][recovery]") {
+    struct row {
+        const char* name;
+        bool take_over;
+    };
+    const auto given = GENERATE(row{"the table is silent", false}, row{"a takeover", true});
+    const auto seed = GENERATE(range(1, 6));
+    INFO(given.name << ", seed " << seed);
+    job_world world{{.targets = 1}, static_cast<std::uint64_t>(seed)};
+    world.target("t0").set_max_listed_ends(4);
+    world.submit(simple_job("j", {simple_step(20, 100)}));
+    world.run_for(200ms);
+    REQUIRE(world.starts().size() == 20);
+    world.hold_writes(true);
+    world.run_for(3s);
+    if (given.take_over)
+        world.take_over();
+    world.hold_writes(false);
+    world.run_for(3s);
+    CHECK(world.violation().empty());
+    CHECK(world.starts().size() == 20);
+    CHECK(world.owner().state("j") == pb::job_answer::completed);
+}
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -792,6 +792,7 @@
         m_engine.set_targets(start, {standin::job_target{"t0", {cpu_milli, 64'000, 0}, start}.entry()});
         for (const auto& poll : m_engine.take_polls(start)) {
             poll_result result;
+            result.complete = true;
             result.outcome = command_outcome::done;
             result.clock_ms = 1;
             m_engine.handle_poll_result(start, start, poll, result);
@@ -846,6 +847,7 @@
                                standin::job_target{"silent", {6000, 64'000, 0}, start}.entry()});
     for (const auto& poll : engine.take_polls(start)) {
         poll_result result;
+        result.complete = true;
         result.outcome = poll.target == "heard" ? command_outcome::done : command_outcome::lost;
         result.clock_ms = 1;
         engine.handle_poll_result(start, start, poll, result);
@@ -896,6 +898,7 @@
     const auto poll_targets = [&](instant at, bool runs) {
         for (const auto& poll : engine.take_polls(at)) {
             poll_result result;
+            result.complete = true;
             const bool silent = poll.target == "busy" && !given.answered;
             result.outcome = silent ? command_outcome::lost : command_outcome::done;
             result.clock_ms = 1;
@@ -935,6 +938,7 @@
     for (auto at = start; at < start + 10s; at += 100ms) {
         for (const auto& poll : engine.take_polls(at)) {
             poll_result result;
+            result.complete = true;
             const bool silent = poll.target == "silent" && at > start;
             result.outcome = silent ? command_outcome::lost : command_outcome::done;
             result.clock_ms = 1 + (at - start).count();
@@ -975,6 +979,7 @@
     for (auto at = start; at < start + 15s; at += 100ms) {
         for (const auto& poll : engine.take_polls(at)) {
             poll_result result;
+            result.complete = true;
             const bool silent = poll.target == "silent" && at > start;
             result.outcome = silent ? command_outcome::lost : command_outcome::done;
             result.clock_ms = 1 + (at - start).count();
@@ -1050,6 +1055,7 @@
     engine.set_targets(at, entries);
     for (const auto& poll : engine.take_polls(at)) {
         poll_result result;
+        result.complete = true;
         result.outcome = command_outcome::done;
         result.clock_ms = 1;
         engine.handle_poll_result(at, at, poll, result);
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -86,6 +86,30 @@
     CHECK_FALSE(platform::decode_run_lists("{}"));
 }
 
+// Guards against runs that are taken for gone because their ends didn't fit in the worker's answer.
+TEST_CASE("a worker's run lists are complete unless they are full or partly unreadable", "[platform]") {
+    struct row {
+        const char* name;
+        int ends;
+        const char* running;
+        bool complete;
+    };
+    const auto given =
+        GENERATE(row{"no ends", 0, "", true}, row{"fewer than it lists at most", 499, "", true},
+                 row{"as many as it lists at most", 500, "", false},
+                 row{"an unreadable row", 1, R"(["j.0.0.1"])", false});
+    INFO(given.name);
+    std::string ended;
+    for (int i = 1; i <= given.ends; ++i)
+        ended += (i > 1 ? ",[" : "[") + std::to_string(i) + R"(,"j.0.0.)" + std::to_string(i) +
+                 R"(",1,"done",""])";
+    const auto lists =
+        platform::decode_run_lists(R"({"clock_ms":9,"born":3,"running":[)" + std::string{given.running} +
+                                   R"(],"ended":[)" + ended + "]}");
+    REQUIRE(lists);
+    CHECK(lists->result.complete == given.complete);
+}
+
 TEST_CASE("boot settings without a required field are rejected", "[platform]") {
     const std::string good = R"({"node":"n","zone":"z","ip":"10.1.0.17","listen":{"front":"10.1.0.17:1",
         "ready":"10.1.0.17:2"},"port_range":[7420,7435],"seeds":["10.2.0.15:8180"],"advice":"10.9.9.9:1",
--- a/test/standin/job_target.cpp
+++ b/test/standin/job_target.cpp
@@ -64,7 +64,9 @@
     result.born_ms = to_ms(m_incarnation_start);
     for (const auto& [task, run] : m_running)
         result.running.push_back({task, run.number, run.saved, m_idle ? 0.0 : 1.0});
-    result.ended = m_ended;
+    const auto listed = std::min(m_ended.size(), m_max_listed_ends);
+    result.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    result.complete = listed == m_ended.size();
     return result;
 }
 
@@ -91,7 +93,9 @@
 }
 
 void job_target::restart(instant at) {
-    *this = job_target{m_id, m_capacity, at};
+    job_target next{m_id, m_capacity, at};
+    next.m_max_listed_ends = m_max_listed_ends;
+    *this = std::move(next);
 }
 
 target_entry job_target::entry() const {
--- a/test/standin/job_target.h
+++ b/test/standin/job_target.h
@@ -32,6 +32,8 @@
     void advance(instant at, const std::function<bool(const std::string& task, int run)>& fails);
     /// When set, polls report no CPU usage, like gang members that wait for others.
     void set_idle(bool idle) { m_idle = idle; }
+    /// How many ends one poll returns at most.
+    void set_max_listed_ends(std::size_t most) { m_max_listed_ends = most; }
     /// Simulates a crash: a new incarnation that knows no earlier runs.
     void restart(instant at);
 
@@ -54,6 +56,7 @@
     std::int64_t m_deadline_ms = 0;
     std::int64_t m_next_end = 1;
     std::map<std::string, run_state> m_running;
+    std::size_t m_max_listed_ends = 500;
     /// Highest run that was stopped or has ended, by task; only later runs may start.
     std::map<std::string, int> m_last_finished_run;
     std::vector<reported_end> m_ended;
--- a/test/target_exchange_test.cpp
+++ b/test/target_exchange_test.cpp
@@ -23,6 +23,7 @@
         poll_result result;
         result.outcome = command_outcome::done;
         result.clock_ms = 1;
+        result.complete = true;
         done(result);
     }
 };
