Keep the terms on which a job was accepted when its queue is removed

Cause: run_failed took 1 for the number of attempts when the configuration in force didn't have the queue. That was durable, and stood when the queue was back.

Change: a job's spec row holds the terms of its queue as of its acceptance. The engine keeps the policies of removed queues and teams, and finds those of accepted jobs again at a takeover, so that accepted jobs go on with their attempts and new ones are refused as before. Without any known terms no job ends by failures. Jobs without attempts left under a new configuration end at once; before, their tasks were started again.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -1,4 +1,5 @@
 #include "jobs/engine.h"
+#include "jobs/queue_terms.h"
 
 #include <algorithm>
 
@@ -74,7 +75,8 @@
 // ---- Configuration ----
 
 void job_engine::set_config(std::shared_ptr<const cell_config> config) {
-    m_config = std::move(config);
+    m_config = with_removed_policies(*config, *m_config);
+    m_attempts_changed = true;
     m_changed = true;
 }
 
@@ -116,6 +118,8 @@
     const bool is_new = spec.accepted_ms() == 0;
     if (is_new)
         spec.set_accepted_ms(to_ms(at));
+    if (const auto queue = m_config->queues.find(spec.queue()); is_new && queue != m_config->queues.end())
+        *spec.mutable_terms() = terms_of(queue->second);
     auto& job = m_jobs[id];
     job.queue = spec.queue();
     job.team = spec.team();
@@ -194,19 +198,19 @@
 void job_engine::open_occurrence(job_state& job, int number, const pb::occurrence_progress* from) {
     auto& made = job.occurrences[number];
     const auto& spec = job.spec;
+    const auto due = spec.times() > 0 ? due_time(spec, number) : from_ms(spec.accepted_ms());
     made.steps.resize(static_cast<std::size_t>(spec.steps_size()));
     made.open_steps = made.steps.size();
     for (int i = 0; i < spec.steps_size(); ++i) {
-    const auto due = spec.times() > 0 ? due_time(spec, number) : from_ms(spec.accepted_ms());
         auto& step = made.steps[static_cast<std::size_t>(i)];
         step.tasks.resize(static_cast<std::size_t>(spec.steps(i).count()));
         step.open_tasks = step.tasks.size();
-        if (from == nullptr || i >= from->steps_size())
-            continue;
-        const auto& known = from->steps(i);
         // An earlier owner, by its own clock, may have opened the occurrence before it is due by this one.
         for (auto& task : step.tasks)
             task.not_before = spec.times() > 0 ? due : instant{};
+        if (from == nullptr || i >= from->steps_size())
+            continue;
+        const auto& known = from->steps(i);
         step.gang_failed_runs.assign(known.gang_failed_runs().begin(), known.gang_failed_runs().end());
         step.gang_saved_state = known.gang_saved();
         for (int k = 0; k < known.tasks_size() && k < spec.steps(i).count(); ++k) {
@@ -281,13 +285,13 @@
     m_timed.erase(spec.id());
 }
 
-void job_engine::set_ready(job_state& job, int occurrence) {
-    auto& steps = job.occurrences.at(occurrence).steps;
-    for (std::size_t i = 0; i < steps.size(); ++i) {
 instant job_engine::due_time(const pb::job_spec& spec, int occurrence) {
     return from_ms(spec.start_at_ms() + occurrence * spec.interval_ms());
 }
 
+void job_engine::set_ready(job_state& job, int occurrence) {
+    auto& steps = job.occurrences.at(occurrence).steps;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
         const auto& after = job.spec.steps(static_cast<int>(i)).after();
         steps[i].ready = std::ranges::all_of(
             after, [&](int earlier) { return steps[static_cast<std::size_t>(earlier)].open_tasks == 0; });
@@ -310,9 +314,6 @@
     return static_cast<std::size_t>(name.index) < step.tasks.size() ? &step : nullptr;
 }
 
-void job_engine::task_done(instant at, job_state& job, const task_name& name, int number) {
-    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
-    auto& task = step.tasks[static_cast<std::size_t>(name.index)];
 job_engine::step_state* job_engine::find_reported_step(const task_name& name, job_state** job) {
     auto* found = find(name.job);
     const bool may_be_unrecorded = found != nullptr && found->phase == pb::job_progress::open &&
@@ -325,6 +326,9 @@
     return find_step(name, job);
 }
 
+void job_engine::task_done(instant at, job_state& job, const task_name& name, int number) {
+    auto& step = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    auto& task = step.tasks[static_cast<std::size_t>(name.index)];
     if (task.done)
         return;
     const bool gang = job.spec.steps(name.step).gang();
@@ -421,11 +425,11 @@
     check_lease_expiry(at);
     finish_recovery(at);
     check_unconfirmed_gangs(at);
+    acknowledge_recorded_ends();
     forget_old(at);
     return_surplus_targets(at);
     if (at >= m_next_pass) { // tickets expire, and retry delays and due times pass, without an event
         m_next_pass = at + pass_period;
-    acknowledge_recorded_ends();
         m_changed = true;
     }
     schedule(at);
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -261,6 +261,8 @@
     /// Acknowledges all ends that were seen if no change waits to be written, since no write does it then.
     void acknowledge_recorded_ends();
     void forget_old(instant at);
+    /// Adds the queues of accepted jobs that the configuration doesn't have any more.
+    void recall_queues(const std::map<std::string, pb::job_spec>& specs);
 
     // engine_targets.cpp and engine_ends.cpp: runs at targets.
     void release(target_state& target, const live_run& run);
@@ -270,6 +272,11 @@
     void request_stop(live_run& run);
     void process_end(instant at, target_state& target, const reported_end& end);
     void run_failed(instant at, target_state& target, job_state& job, const task_name& name, int number);
+    /// False if no configuration had the job's queue yet, so that its number of attempts isn't known.
+    [[nodiscard]] bool attempts_used_up(const job_state& job, const std::vector<int>& failed_runs) const;
+    /// After a change of the configuration, ends jobs that have no attempts left under it.
+    void end_jobs_without_attempts(instant at);
+    [[nodiscard]] bool has_no_attempts_left(const job_state& job) const;
     void start_answered(instant at, target_state& target, const start_stop_command& command,
                         command_outcome outcome);
     void stop_answered(instant at, target_state& target, const start_stop_command& command,
@@ -387,7 +394,8 @@
     [[nodiscard]] int next_run_number(int last) const;
 
     engine_options m_options;
-    std::shared_ptr<const cell_config> m_config;
+    std::shared_ptr<const cell_config> m_config; ///< with policies that were removed since
+    bool m_attempts_changed = false;             ///< the configuration changed since the last pass
     std::set<std::string> m_drained;
     std::unordered_map<std::string, job_state> m_jobs;
     std::set<std::string> m_open;
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -150,12 +150,43 @@
     if (!add_if_absent(failed, number))
         return;
     mark_for_write(at, job, false);
-    const auto queue = m_config->queues.find(job.queue);
-    const auto attempts = queue == m_config->queues.end() ? 1 : queue->second.max_attempts;
-    if (static_cast<int>(failed.size()) >= attempts)
+    if (attempts_used_up(job, failed))
         end_job(at, job, pb::job_progress::failed);
 }
 
+bool job_engine::attempts_used_up(const job_state& job, const std::vector<int>& failed_runs) const {
+    const auto queue = m_config->queues.find(job.queue);
+    return queue != m_config->queues.end() &&
+           static_cast<int>(failed_runs.size()) >= queue->second.max_attempts;
+}
+
+void job_engine::end_jobs_without_attempts(instant at) {
+    if (!std::exchange(m_attempts_changed, false))
+        return;
+    const std::vector<std::string> open{m_open.begin(), m_open.end()};
+    for (const auto& id : open) {
+        auto& job = m_jobs.at(id);
+        if (has_no_attempts_left(job))
+            end_job(at, job, pb::job_progress::failed);
+    }
+}
+
+bool job_engine::has_no_attempts_left(const job_state& job) const {
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (step.open_tasks == 0)
+                continue;
+            const bool used_up = attempts_used_up(job, step.gang_failed_runs) ||
+                                 std::ranges::any_of(step.tasks, [&](const task_state& task) {
+                                     return !task.done && attempts_used_up(job, task.failed_runs);
+                                 });
+            if (used_up)
+                return true;
+        }
+    }
+    return false;
+}
+
 // ---- Restarts and leases of targets ----
 
 void job_engine::handle_restart(instant at, target_state& target, std::int64_t born_ms) {
@@ -175,6 +206,7 @@
     target.clock_read = {};
     target.failures_in_row = 0;
     target.contacted = false;
+    target.listed_all = false;
     target.next_poll = at;
 }
 
@@ -185,6 +217,8 @@
         const bool expired = target.suspect && target.clock_read != instant{} && at >= target.lease_expiry();
         if (expired && !(target.runs.empty() && target.orphans.empty()))
             drop_all(at, target, "its lease expired", true);
+        if (expired)
+            m_unconfirmed_targets.erase(it->first);
         const bool is_gone = !target.listed && target.suspect && target.runs.empty() &&
                              !target.poll_in_flight && !target.transfer_to &&
                              !m_unconfirmed_targets.contains(it->first);
@@ -206,7 +240,6 @@
     for (const auto& id : m_open) {
         auto& job = m_jobs.at(id);
         const auto& steps = job.spec.steps();
-    target.listed_all = false;
         const bool gangs =
             std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.gang(); });
         if (job.unconfirmed && gangs)
@@ -227,8 +260,6 @@
     }
     if (!m_unconfirmed_targets.empty())
         return;
-        if (expired)
-            m_unconfirmed_targets.erase(it->first);
     m_recovering = false;
     add_event("runs_known", {}, std::to_string(not_reached) + " targets not reached");
     for (const auto& id : m_open) {
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -1,6 +1,7 @@
 // Persistence of jobs: writes to the table, recovery from it, and removal of old jobs.
 
 #include "jobs/engine.h"
+#include "jobs/queue_terms.h"
 
 #include <algorithm>
 
@@ -24,6 +25,7 @@
 
 void job_engine::restore(const std::map<std::string, pb::job_spec>& specs,
                          const std::map<std::string, pb::job_progress>& progress) {
+    recall_queues(specs);
     std::vector<std::pair<std::int64_t, std::string>> ended;
     for (const auto& [id, row] : progress) {
         auto& job = m_jobs[id];
@@ -75,6 +77,21 @@
     });
 }
 
+void job_engine::recall_queues(const std::map<std::string, pb::job_spec>& specs) {
+    std::map<std::string, const pb::job_spec*> latest; // by queue
+    for (const auto& [id, spec] : specs) {
+        auto& known = latest[spec.queue()];
+        if (spec.has_terms() && (known == nullptr || known->accepted_ms() < spec.accepted_ms()))
+            known = &spec;
+    }
+    auto config = std::make_shared<cell_config>(*m_config);
+    for (const auto& [queue, spec] : latest) {
+        if (spec != nullptr)
+            config->queues.try_emplace(queue, policy_from(*spec));
+    }
+    m_config = std::move(config);
+}
+
 void job_engine::restore_roster(instant at, const std::vector<std::string>& targets) {
     m_unconfirmed_targets.insert(targets.begin(), targets.end());
     m_roster.insert(targets.begin(), targets.end());
@@ -248,6 +265,13 @@
     schedule(at);
 }
 
+void job_engine::acknowledge_recorded_ends() {
+    if (m_rows_in_write || !m_urgent.empty() || !m_dirty.empty())
+        return;
+    for (auto& [id, target] : m_targets)
+        target.acked_upto = std::max(target.acked_upto, target.seen_upto);
+}
+
 void job_engine::forget_old(instant at) {
     if (at < m_next_forget)
         return;
@@ -265,11 +289,4 @@
     }
 }
 
-void job_engine::acknowledge_recorded_ends() {
-    if (m_rows_in_write || !m_urgent.empty() || !m_dirty.empty())
-        return;
-    for (auto& [id, target] : m_targets)
-        target.acked_upto = std::max(target.acked_upto, target.seen_upto);
-}
-
 } // namespace medlarhub
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -41,6 +41,7 @@
     if (!m_changed || at < m_pass_after)
         return;
     m_changed = false;
+    end_jobs_without_attempts(at);
     m_held_by_limit.clear();
     m_limit_reserved.clear();
     m_unconfirmed_use = max_unconfirmed_use(at);
