Let steps that no target can take hold back nothing behind them

Cause: a pass ended after 40 steps that found no place, for any reason, and took all behind them for not reached.

Change: the count is kept by the targets that steps can run on (service and label), and counts only steps that lack capacity. A need larger than any usable target is told at once. While more than half of the CPU is free, single tasks are placed past 40 steps of their own group too; what one step of the pass found to have no room spares later ones the search. On a full fleet the order is as before. A gang's part of its team's limit is reserved from the first moment on that a target can run it.

Failed try: to give the steps' own reasons (a retry, an unrecorded job) before the team's limit is looked at.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -334,8 +334,20 @@
                                                       std::vector<target_state*> targets);
     [[nodiscard]] std::int64_t free_cpu_milli(instant at) const;
 
+    /// Steps that the same targets can run, apart from their needs: in one pass.
+    struct step_group {
+        bool any_target = false;          ///< a usable target has the label
+        resources largest_capacity;       ///< of these targets, each resource by itself
+        std::size_t without_capacity = 0; ///< steps that were looked at and found no capacity
+        std::vector<resources> too_large; ///< needs of tasks that no target has room for now
+    };
+
     // engine_schedule.cpp: placement of steps.
     void schedule(instant at);
+    /// Places the step if the pass still reaches its group and targets may have room for it.
+    wait_cause consider(instant at, const ready_step& ready, std::set<std::string>& reserved);
+    step_group& group_of(instant at, const ready_step& ready, const queue_policy& queue);
+    [[nodiscard]] static bool has_label(const target_state& target, const pb::step_spec& spec);
     /// Rotates the late steps, so that those at the front that find no capacity don't block the others
     /// forever when passes end early.
     void rotate_late(instant at, std::vector<ready_step>& waiting);
@@ -350,7 +362,8 @@
     /// Logs why a step waits past its latest useful start, and a notable wait once it is over.
     void note_wait(instant at, const ready_step& ready, wait_cause cause);
     [[nodiscard]] std::string describe_cause(const ready_step& ready, wait_cause cause) const;
-    wait_cause schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved);
+    wait_cause schedule_step(instant at, const ready_step& ready, step_group& group,
+                             std::set<std::string>& reserved);
     wait_cause cause_of_no_capacity(instant at, const ready_step& ready, bool advised);
     wait_cause look_for_cause(instant at, const ready_step& ready, bool advised);
     /// Places as many tasks of a step as fit on the allowed targets.
@@ -470,6 +483,8 @@
     int m_reserving_gangs = 0;     ///< gangs that reserve busy targets in this pass
     /// A step that isn't too late to be useful found no capacity in this pass.
     bool m_useful_work_waits = false;
+    std::map<std::pair<std::string, std::string>, step_group> m_groups; ///< by service and label
+    bool m_much_is_free = false; ///< more than half of the usable CPU was free when the pass began
     std::map<std::string, const step_state*> m_kept; ///< targets kept for a gang in this pass
 
     std::int64_t m_waiting_cpu_milli = 0; ///< of all waiting steps, as of the last pass
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -10,7 +10,7 @@
 
 /// Run numbers of one epoch; the numbers of the next epoch lie above all of them.
 constexpr int runs_per_epoch = 1000;
-/// A pass ends after this many steps that found no capacity.
+/// A pass ends for a group of steps after this many that found no capacity.
 constexpr std::size_t max_steps_without_capacity = 40;
 /// Interval at which the late steps are rotated while passes don't reach all of them.
 constexpr milliseconds rotation_period{2000};
@@ -66,27 +66,72 @@
     m_reserving_gangs = 0;
     m_useful_work_waits = false;
     m_uncommitted_cpu_milli = free_cpu_milli(at);
+    m_much_is_free = m_uncommitted_cpu_milli * 2 > usable_cpu_milli(at);
+    m_groups.clear();
     m_waiting_cpu_milli = 0;
     m_shortage_cpu_milli = 0;
     m_shortage_gang.reset();
-    std::size_t without_capacity = 0;
+    bool cut_short = false;
     for (const auto& ready : waiting) {
-        auto cause = wait_cause::not_reached;
-        if (without_capacity < max_steps_without_capacity)
-            cause = waits_for_advice(at, ready) ? wait_cause::advice : schedule_step(at, ready, reserved);
+        const auto cause = consider(at, ready, reserved);
+        cut_short = cut_short || cause == wait_cause::not_reached;
         const bool waits_for_others = cause == wait_cause::team_limit || cause == wait_cause::advice;
-        without_capacity += cause == wait_cause::none || waits_for_others ? 0 : 1;
         m_useful_work_waits = m_useful_work_waits || (cause != wait_cause::none && !waits_for_others &&
                                                       at <= ready.sort_key->latest_useful_start);
         note_wait(at, ready, cause);
         note_shortage(at, ready, cause);
     }
     m_reserved = std::move(reserved);
-    note_pass_end(at, without_capacity >= max_steps_without_capacity);
+    note_pass_end(at, cut_short);
     const auto spacing = std::chrono::floor<milliseconds>(pass_spacing * waiting.size());
     m_pass_after = at + std::min(spacing, max_pass_spacing);
 }
 
+wait_cause job_engine::consider(instant at, const ready_step& ready, std::set<std::string>& reserved) {
+    const auto queue = m_config->queues.find(ready.job->queue);
+    if (queue == m_config->queues.end())
+        return wait_cause::no_usable_target;
+    const auto& spec = ready.job->spec.steps(ready.step);
+    auto& group = group_of(at, ready, queue->second);
+    if (!group.any_target || !has_room(need_of(spec), group.largest_capacity))
+        return wait_cause::no_usable_target;
+    // On a full fleet the order of steps is kept; beside much free capacity, small steps pass larger ones.
+    const bool passes = m_much_is_free && !spec.gang();
+    if (group.without_capacity >= max_steps_without_capacity && !passes)
+        return wait_cause::not_reached;
+    if (waits_for_advice(at, ready))
+        return wait_cause::advice;
+    const auto cause = schedule_step(at, ready, group, reserved);
+    const bool lacks_capacity = cause == wait_cause::no_capacity || cause == wait_cause::capacity_reserved ||
+                                cause == wait_cause::too_few_good_targets;
+    group.without_capacity += lacks_capacity ? 1 : 0;
+    return cause;
+}
+
+job_engine::step_group& job_engine::group_of(instant at, const ready_step& ready, const queue_policy& queue) {
+    const auto& spec = ready.job->spec.steps(ready.step);
+    const auto [found, added] = m_groups.try_emplace({queue.service, spec.required_label()});
+    auto& group = found->second;
+    if (!added)
+        return group;
+    auto& largest = group.largest_capacity;
+    for (const auto& [id, target] : m_targets) {
+        const auto& capacity = target.entry.capacity;
+        if (!usable(at, target) || target.entry.service != queue.service || !has_label(target, spec))
+            continue;
+        largest = {std::max(largest.cpu_milli, capacity.cpu_milli),
+                   std::max(largest.memory_mb, capacity.memory_mb),
+                   std::max(largest.accelerators, capacity.accelerators)};
+        group.any_target = true;
+    }
+    return group;
+}
+
+bool job_engine::has_label(const target_state& target, const pb::step_spec& spec) {
+    return spec.required_label().empty() ||
+           std::ranges::find(target.entry.labels, spec.required_label()) != target.entry.labels.end();
+}
+
 void job_engine::rotate_late(instant at, std::vector<ready_step>& waiting) {
     const auto is_late = [&](const ready_step& ready) {
         return !ready.sort_key->exceeds_team_rate && at > ready.sort_key->latest_useful_start;
@@ -221,7 +266,8 @@
     return found;
 }
 
-wait_cause job_engine::schedule_step(instant at, const ready_step& ready, std::set<std::string>& reserved) {
+wait_cause job_engine::schedule_step(instant at, const ready_step& ready, step_group& group,
+                                     std::set<std::string>& reserved) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto need = need_of(spec);
     const auto unit = spec.gang() ? times(need, spec.count()) : need;
@@ -230,6 +276,9 @@
         return wait_cause::no_usable_target;
     if (is_held_by_team_limit(at, ready, unit))
         return wait_cause::team_limit;
+    if (!spec.gang() &&
+        std::ranges::any_of(group.too_large, [&](const resources& known) { return has_room(known, need); }))
+        return wait_cause::no_capacity;
     auto all = candidates(at, ready);
     const bool any_capacity = !all.empty();
     const auto& step = step_of(ready);
@@ -260,6 +309,8 @@
     }
     if (cause != wait_cause::no_capacity)
         return cause;
+    if (!spec.gang() && !advised && spec.max_per_target() == 0)
+        group.too_large.push_back(need);
     if (all.empty() && any_capacity)
         return wait_cause::capacity_reserved;
     return cause_of_no_capacity(at, ready, advised);
@@ -308,10 +359,7 @@
     if (queue == m_config->queues.end())
         return found;
     for (auto& [id, target] : m_targets) {
-        const auto& labels = target.entry.labels;
-        const bool has_label =
-            spec.required_label().empty() || std::ranges::find(labels, spec.required_label()) != labels.end();
-        if (usable(at, target) && target.entry.service == queue->second.service && has_label &&
+        if (usable(at, target) && target.entry.service == queue->second.service && has_label(target, spec) &&
             has_room(need_of(spec), target.entry.capacity))
             found.push_back(&target);
     }
--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -161,7 +161,8 @@
 void job_engine::extend_limit_reservation(instant at, const ready_step& ready) {
     auto& step = step_of(ready);
     const auto before = step.wait.cause();
-    if (before == wait_cause::none || before == wait_cause::team_limit)
+    if (before == wait_cause::none || before == wait_cause::team_limit ||
+        before == wait_cause::no_usable_target)
         step.limit_reserved_until = at + max_idle_reservation;
 }
 
--- a/test/standin/job_target.cpp
+++ b/test/standin/job_target.cpp
@@ -94,6 +94,7 @@
 
 void job_target::restart(instant at) {
     job_target next{m_id, m_capacity, at};
+    next.m_labels = m_labels;
     next.m_max_listed_ends = m_max_listed_ends;
     *this = std::move(next);
 }
@@ -104,7 +105,7 @@
     made.service = "orders";
     made.address = m_id + ":80";
     made.data_centre = "vernon";
-    made.labels = {"a", "r1"};
+    made.labels = m_labels;
     made.rack = "r1";
     made.capacity = m_capacity;
     made.born_ms = to_ms(m_incarnation_start);
--- a/test/standin/job_target.h
+++ b/test/standin/job_target.h
@@ -34,6 +34,7 @@
     void set_idle(bool idle) { m_idle = idle; }
     /// How many ends one poll returns at most.
     void set_max_listed_ends(std::size_t most) { m_max_listed_ends = most; }
+    void set_labels(std::vector<std::string> labels) { m_labels = std::move(labels); }
     /// Simulates a crash: a new incarnation that knows no earlier runs.
     void restart(instant at);
 
@@ -50,13 +51,14 @@
 
     std::string m_id;
     bool m_idle = false;
+    std::vector<std::string> m_labels{"a", "r1"};
     resources m_capacity;
     instant m_incarnation_start;
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline_ms = 0;
     std::int64_t m_next_end = 1;
-    std::map<std::string, run_state> m_running;
     std::size_t m_max_listed_ends = 500;
+    std::map<std::string, run_state> m_running;
     /// Highest run that was stopped or has ended, by task; only later runs may start.
     std::map<std::string, int> m_last_finished_run;
     std::vector<reported_end> m_ended;
