Let an owner whose ownership isn't confirmed command nobody, whoever else is silent

Cause: beyond 2.5 s without confirmation an owner went on while no live node had reported an answer of the table. Nodes that aren't reached aren't live, and nodes cut off together agree with each other, so that an owner in a data centre that is cut off renewed leases and started work there, and its successor started the same tasks elsewhere.

Change: the right to command ends after 2.5 s, on which successors count already. cell_view::shared_outage and the reports for it are removed; so is the same exception of partition_host, which renewed beyond 8 s while it heard a majority. Test cell_view_test "an outage is shared if" goes with the function that it tested; what replaces it asks for more: no report at all lets an owner go on.

Considered: fresh reports of every node that may exist. A dead node can't be told from one that is cut off.

Test: owned_partition_test "an owner whose ownership isn't confirmed stops to command targets until it is" failed with the exception in force (4 polls).

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -187,7 +187,7 @@
 
     pb::gossip on_exchange(const pb::gossip& message) override {
         take_gossip(message);
-        return m_view.make_reply(now(), message);
+        return m_view.make_reply(message);
     }
 
     void on_jobs(const pb::job_calls& calls, std::function<void(pb::job_answers)> done) override {
@@ -504,7 +504,7 @@
 
     /// Exchanges gossip with a node. Calls `failed` if there was no response in time.
     void exchange(const std::string& address, milliseconds timeout, std::function<void()> failed) {
-        m_peers.exchange(address, m_view.make_message(now()), timeout,
+        m_peers.exchange(address, m_view.make_message(), timeout,
                          [self = shared_from_this(), failed = std::move(failed)](peer_delivery delivery,
                                                                                  const pb::gossip& reply) {
                              if (delivery == peer_delivery::answered)
@@ -616,7 +616,6 @@
         environment.commands = &m_relayed;
         environment.counters = &m_counters;
         environment.ask = [this](const advice_request& request, auto done) { ask(request, std::move(done)); };
-        environment.shared_outage = [this] { return m_view.shared_outage(now()); };
         environment.announce = [this](const std::vector<target_transfer>& transfers) {
             m_exchange.announce(now(), transfers);
         };
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -22,10 +22,6 @@
 constexpr milliseconds head_unchanged_period{350};
 /// A node can reach the table if the table answered it within this time.
 constexpr milliseconds max_table_answer_age{2000};
-/// Another node's report about the table is used for this long.
-constexpr milliseconds max_report_age{1500};
-/// The table counts as unavailable to all if this many nodes report no answer and none reports one.
-constexpr std::size_t min_outage_reports = 4;
 constexpr milliseconds max_candidates_age{200};
 /// Refuting a suspicion raises the incarnation only slightly; a restart raises it by the elapsed
 /// milliseconds.
@@ -62,20 +58,6 @@
     return m_last_table_answer != instant{} && at - m_last_table_answer < max_table_answer_age;
 }
 
-bool cell_view::shared_outage(instant at) const {
-    const std::lock_guard lock{m_mutex};
-    const auto others = m_members.live().size() - 1;
-    std::size_t without = 0;
-    for (const auto& [node, report] : m_reports) {
-        if (at - report.received >= max_report_age)
-            continue;
-        if (at - report.last_table_answer < max_table_answer_age)
-            return false;
-        ++without;
-    }
-    return without >= std::min(others, min_outage_reports);
-}
-
 // ---- Nodes ----
 
 void cell_view::learn_node(instant at, const pb::member& node) {
@@ -109,12 +91,11 @@
     return found;
 }
 
-pb::gossip cell_view::make_message(instant at) {
+pb::gossip cell_view::make_message() {
     pb::gossip message;
     message.set_from(m_node);
     message.set_incarnation(m_incarnation);
     const std::lock_guard lock{m_mutex};
-    message.set_store_age_ms((at - m_last_table_answer).count());
     message.set_layout_version(m_layout_version);
     for (const auto& update : m_members.updates())
         *message.add_members() = update;
@@ -128,8 +109,8 @@
     return message;
 }
 
-pb::gossip cell_view::make_reply(instant at, const pb::gossip& message) {
-    auto reply = make_message(at);
+pb::gossip cell_view::make_reply(const pb::gossip& message) {
+    auto reply = make_message();
     const std::lock_guard lock{m_mutex};
     if (message.layout_version() < m_layout_version)
         reply.set_layout(to_text(*m_layout));
@@ -158,7 +139,6 @@
         }
         replace_owner(summary.partition(), {summary.owner(), summary.owner_address(), summary.epoch()});
     }
-    m_reports[message.from()] = {at, at - milliseconds{message.store_age_ms()}};
     return newer;
 }
 
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -44,8 +44,6 @@
     /// Records that the table answered this node.
     void table_answered(instant at);
     [[nodiscard]] bool can_reach_table(instant at) const;
-    /// Whether recent messages of the other nodes show that none of them can reach the table.
-    [[nodiscard]] bool shared_outage(instant at) const;
 
     // ---- Nodes ----
 
@@ -58,9 +56,9 @@
     /// Returns the other live nodes; `suspects` includes those whose last probe failed.
     [[nodiscard]] std::vector<pb::member> others(bool suspects) const;
 
-    pb::gossip make_message(instant at);
+    pb::gossip make_message();
     /// Makes the reply to a message; includes the layout if the other node has an older one.
-    pb::gossip make_reply(instant at, const pb::gossip& message);
+    pb::gossip make_reply(const pb::gossip& message);
     /// Merges a message into the view. Returns true if it contained a newer layout.
     bool handle_message(instant at, const pb::gossip& message);
     /// Returns the nodes to probe next; to be called once per gossip period.
@@ -131,11 +129,6 @@
     [[nodiscard]] bool should_create_layout(instant at);
 
 private:
-    /// When another node last sent a message, and when the table had last answered that node.
-    struct peer_report {
-        instant received{};
-        instant last_table_answer{};
-    };
     struct successor_entry {
         std::string owner;
         std::string successor;
@@ -168,7 +161,6 @@
     std::map<int, owner_view> m_owners;
     std::map<int, instant> m_owner_probe_failures; ///< last failed probe of the owner, by partition
     std::map<int, head_view> m_heads;              ///< head rows of partitions whose owner may be dead
-    std::map<std::string, peer_report> m_reports;  ///< by node
     std::vector<candidate_owner> m_candidates;
     instant m_candidates_at{};
     std::map<int, successor_entry> m_successors; ///< by partition, computed from `m_candidates`
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -28,7 +28,8 @@
 constexpr milliseconds table_unavailable_after{400};
 /// The owner confirms its ownership at least this often.
 constexpr milliseconds confirm_period{1500};
-/// Without a confirmation for this long no commands are sent, unless the table is unavailable to all nodes.
+/// Without a confirmation for this long no commands are sent, whatever other nodes report: one that isn't
+/// heard may have taken the partition over.
 constexpr milliseconds confirmation_expiry{2500};
 /// A write without a response for this long counts as failing.
 constexpr milliseconds slow_write_threshold{700};
@@ -296,7 +297,7 @@
             require_confirmation("a long gap between ticks");
         if (m_needs_confirmation)
             return false;
-        return boot - m_confirmed <= confirmation_expiry || m_environment.shared_outage();
+        return boot - m_confirmed <= confirmation_expiry;
     }
 
     void collect(instant at, outbox& out) {
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -38,8 +38,6 @@
     metrics* counters = nullptr;
     /// Sends a request to the advice service through some node; invokes the callback exactly once.
     std::function<void(const advice_request&, std::function<void(std::optional<advice_reply>)>)> ask;
-    /// Whether the other nodes can't reach the table either, so that none can have taken the partition over.
-    std::function<bool()> shared_outage;
     /// Notifies the owners of other partitions of targets that were transferred to them.
     std::function<void(const std::vector<target_transfer>&)> announce;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -216,10 +216,6 @@
     }
 }
 
-bool node::impl::shared_outage() const {
-    return m_config.needs_majority(now()) && m_config.current(now());
-}
-
 // ---- Calls from callers ----
 
 void node::impl::begin(routed_call routed) {
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -119,7 +119,6 @@
     void escrow_round();
     void distribute_fleet();
     [[nodiscard]] host_map partition_hosts() const;
-    [[nodiscard]] bool shared_outage() const;
 
     /// Guarded by m_cluster_mutex.
     mutable std::mutex m_cluster_mutex;
--- a/src/node/node_peers.cpp
+++ b/src/node/node_peers.cpp
@@ -276,8 +276,7 @@
                                  m_counters,
                                  m_options.node + "." + std::to_string(m_incarnation),
                                  [this] { return m_config.state(); },
-                                 [this] { return m_config.current(now()); },
-                                 [this] { return shared_outage(); }};
+                                 [this] { return m_config.current(now()); }};
     const auto taken = std::make_shared<partition_host>(std::move(environment), partition);
     {
         const std::lock_guard lock{m_host_mutex};
--- a/src/node/partition_host.cpp
+++ b/src/node/partition_host.cpp
@@ -634,7 +634,7 @@
 
     /// Returns whether this node may still renew leases: see docs/design/ownership.md.
     bool may_renew(instant at) const {
-        return at - m_ownership_confirmed_at <= ownership_validity || m_environment.shared_outage();
+        return at - m_ownership_confirmed_at <= ownership_validity;
     }
 
     void poll_targets(instant at) {
--- a/src/node/partition_host.h
+++ b/src/node/partition_host.h
@@ -26,9 +26,6 @@
     std::string writer; ///< node id and incarnation; identifies this process in journal rows
     std::function<std::shared_ptr<const config_state>()> config;
     std::function<bool()> config_current;
-    /// Returns true when this node has recent contact with a majority of the nodes and none of them reaches
-    /// the store. No other node can have taken over a partition then, so that leases may still be renewed.
-    std::function<bool()> shared_outage;
 };
 
 /// A team's CPU use in a partition, and its allotment there when the team has a limit.
--- a/test/cell_view_test.cpp
+++ b/test/cell_view_test.cpp
@@ -146,30 +146,6 @@
     CHECK(with.view.owner_address(0) == "me:1");
 }
 
-TEST_CASE("an outage is shared if several nodes recently reported it and none reported an answer", "[view]") {
-    struct row {
-        const char* name;
-        int without;
-        int with_table;
-        milliseconds since;
-        bool shared;
-    };
-    const auto each = GENERATE(
-        row{"all nodes report the outage", 4, 0, 0ms, true}, row{"one can reach the table", 4, 1, 0ms, false},
-        row{"too few reports", 2, 0, 0ms, false}, row{"old reports", 4, 0, 2000ms, false});
-    INFO(each.name);
-    viewer with;
-    for (int i = 0; i < 6; ++i)
-        with.view.learn_node(with.at, node("n" + std::to_string(i)));
-    for (int i = 0; i < each.without + each.with_table; ++i) {
-        pb::gossip message;
-        message.set_from("n" + std::to_string(i));
-        message.set_store_age_ms(i < each.without ? 9000 : 0);
-        with.view.handle_message(with.at, message);
-    }
-    CHECK(with.view.shared_outage(with.at + each.since) == each.shared);
-}
-
 TEST_CASE("a malformed message changes nothing and throws nothing", "[view]") {
     struct row {
         const char* name;
@@ -195,10 +171,10 @@
     viewer with;
     viewer newer;
     newer.view.update_layout(layout_of(3), 2);
-    const auto reply = newer.view.make_reply(newer.at, with.view.make_message(with.at));
+    const auto reply = newer.view.make_reply(with.view.make_message());
     CHECK(with.view.handle_message(with.at, reply));
     CHECK(with.view.partitions() == 3);
-    CHECK(newer.view.make_reply(newer.at, with.view.make_message(with.at)).layout().empty());
+    CHECK(newer.view.make_reply(with.view.make_message()).layout().empty());
 }
 
 TEST_CASE("the node that probes an owner changes with the known nodes", "[view]") {
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -19,7 +19,7 @@
 
 constexpr milliseconds longest_lease{6000};
 
-/// A table whose transactions can be held before they are executed.
+/// A table whose transactions can be held before they are executed; meanwhile reads fail.
 class held_table final : public table {
 public:
     write_result transact(const std::vector<table_write>& writes) override {
@@ -30,10 +30,12 @@
         --m_waiting;
         return m_rows.transact(writes);
     }
-    std::optional<std::vector<table_row>> read(const std::string& key) override { return m_rows.read(key); }
+    std::optional<std::vector<table_row>> read(const std::string& key) override {
+        return is_held() ? std::nullopt : m_rows.read(key);
+    }
     std::optional<std::vector<table_row>> list(const std::string& prefix, const std::string& after,
                                                int limit) override {
-        return m_rows.list(prefix, after, limit);
+        return is_held() ? std::nullopt : m_rows.list(prefix, after, limit);
     }
 
     void hold(bool held) {
@@ -47,6 +49,11 @@
     }
 
 private:
+    bool is_held() {
+        const std::lock_guard lock{m_mutex};
+        return m_held;
+    }
+
     standin::memory_table m_rows;
     std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -54,14 +61,18 @@
     int m_waiting = 0;
 };
 
+/// Targets that can't be reached; counts the polls sent to them.
 class no_targets final : public target_port {
 public:
+    std::atomic<int> polls{0};
+
     void send(const start_stop_command& /*command*/, milliseconds /*timeout*/,
               std::function<void(command_outcome)> done) override {
         done(command_outcome::not_sent);
     }
     void poll(const target_poll_command& /*command*/, milliseconds /*timeout*/,
               std::function<void(poll_result)> done) override {
+        ++polls;
         done({});
     }
 };
@@ -100,7 +111,6 @@
         environment.commands = &m_targets;
         environment.counters = &m_counters;
         environment.ask = [](const advice_request&, auto done) { done(std::nullopt); };
-        environment.shared_outage = [] { return false; };
         owned = std::make_unique<owned_partition>(
             owned_partition_options{0, 1, owner, "10.0.0.1:1", longest_lease}, environment);
         owned->set_declarations(one_queue());
@@ -117,6 +127,14 @@
         return promise->get_future();
     }
 
+    /// Ticks for `time`. Returns how many polls were sent meanwhile.
+    int polls_in(milliseconds time) {
+        const auto before = m_targets.polls.load();
+        for (const auto end = now() + time; now() < end; std::this_thread::sleep_for(tick_period))
+            owned->tick();
+        return m_targets.polls - before;
+    }
+
     held_table rows;
 
 private:
@@ -173,6 +191,28 @@
     CHECK(partition.submit("unseen").get().result() == pb::job_answer::ok);
 }
 
+// Guards against tasks that run twice because an owner that is cut off goes on while a successor takes over:
+// no report of other nodes, and no silence, shows that there is none.
+TEST_CASE("an owner whose ownership isn't confirmed stops to command targets until it is",
+          "[ownership][recovery]") {
+    partition_under_test partition;
+    target_entry target;
+    target.id = "t0";
+    target.address = "10.0.0.9:1";
+    target.rack = "r1";
+    auto layout = std::make_shared<cell_layout>();
+    layout->partitions = 1;
+    layout->racks[rack_of(target)] = 0;
+    partition.owned->set_targets(layout, std::make_shared<std::vector<target_entry>>(1, target));
+    REQUIRE(partition.polls_in(1s) > 0);
+    partition.rows.hold(true);
+    // A successor counts on it that the owner before it has stopped after 2.5 s.
+    (void)partition.polls_in(2700ms);
+    CHECK(partition.polls_in(1s) == 0);
+    partition.rows.hold(false);
+    CHECK(partition.polls_in(1500ms) > 0);
+}
+
 TEST_CASE("a new owner knows when no previous owner can send commands to targets", "[ownership][recovery]") {
     struct row {
         const char* name;
--- a/test/target_exchange_test.cpp
+++ b/test/target_exchange_test.cpp
@@ -52,7 +52,6 @@
         environment.commands = &m_commands;
         environment.counters = &m_counters;
         environment.ask = [](const advice_request&, auto done) { done(std::nullopt); };
-        environment.shared_outage = [] { return false; };
         environment.announce = [this](const std::vector<target_transfer>& transfers) {
             exchange.announce(now(), transfers);
             announced += static_cast<int>(transfers.size());
