Give a run up on its own target's word or when its lease expires, on nothing else

Found while looking wherever a run is dropped: after two polls without a connection, or with another target at the address, all runs of a target were given up at once and their tasks placed elsewhere. An entry with a wrong or unreadable address (which counts as a call that wasn't sent) was enough, while the target worked on; a late answer from an earlier address too.

Change: both only make the target suspect. Its runs end by its lists, its restart, or its lease. A start that another target answered didn't run; earlier sends of it may have. The log says why a target is suspect.

Test: engine_reports_test "a run is given up when its target's lease expires, not when it can't be asked", rows "connections are refused" and "another target answers".

--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -19,8 +19,6 @@
 constexpr milliseconds unhealthy_delay{1000};
 constexpr milliseconds no_capacity_delay{100};
 constexpr milliseconds malformed_delay{1000};
-/// Consecutive refused connections after which the target's process counts as dead.
-constexpr int dead_threshold = 2;
 
 } // namespace
 
@@ -216,8 +214,7 @@
         m_starts.push_back({target.entry.id, text, command.ticket});
         return;
     }
-    const bool may_run = run.unanswered_starts > 0 && outcome != command_outcome::other_target;
-    if (may_run) {
+    if (run.unanswered_starts > 0) { // one of them may still be carried out
         if (run.phase == run_phase::starting)
             run.phase = run_phase::unknown_outcome;
         request_stop(run);
@@ -227,7 +224,8 @@
     }
     if (outcome == command_outcome::bad_ticket && step != nullptr)
         step->advice.refused(command.target);
-    if (outcome == command_outcome::unhealthy)
+    // Another target at its address says nothing about what runs at this one.
+    if (outcome == command_outcome::unhealthy || outcome == command_outcome::other_target)
         target.avoid_until = at + unhealthy_delay;
     if (outcome == command_outcome::no_room || outcome == command_outcome::too_late ||
         outcome == command_outcome::not_sent)
@@ -235,12 +233,6 @@
     if (outcome == command_outcome::malformed && step != nullptr)
         step->tasks[static_cast<std::size_t>(command.task.index)].not_before = at + malformed_delay;
     target.next_poll = at;
-    if (outcome == command_outcome::other_target) {
-        drop_all(at, target, "another target answers there", true);
-        target.contacted = false;
-        target.listed_all = false;
-        return;
-    }
     drop_run(at, target, text, "the start was refused");
 }
 
@@ -262,8 +254,6 @@
     add_event("stop_refused", command.task.job,
               command.target + " " + text + " run " + std::to_string(command.run) + ": " +
                   std::string{name_of(outcome)});
-    if (outcome == command_outcome::other_target)
-        drop_all(at, target, "another target answers there", true);
 }
 
 // ---- Polls ----
@@ -312,21 +302,14 @@
     if (result.outcome == command_outcome::fenced)
         return;
     if (result.outcome != command_outcome::done) {
-        target.refused_polls = result.outcome == command_outcome::not_sent ? target.refused_polls + 1 : 0;
+        // Neither a refused connection nor another target at its address shows that its runs have ended; only
+        // the expiry of its lease does.
         if (!target.suspect)
-            add_event("target_suspect", {}, command.target);
+            add_event("target_suspect", {}, command.target + ": " + std::string{name_of(result.outcome)});
         target.suspect = true;
-        const bool dead = target.refused_polls >= dead_threshold;
-        if (dead || result.outcome == command_outcome::other_target) {
-            drop_all(at, target, dead ? "its process is gone" : "another target answers there", true);
-            target.contacted = false;
-            target.listed_all = false;
-            m_unconfirmed_targets.erase(command.target);
-        }
         schedule(at);
         return;
     }
-    target.refused_polls = 0;
     target.latest_answered = command.number;
     if (target.suspect)
         add_event("target_back", {}, command.target);
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -80,7 +80,6 @@
     instant poll_overdue{};            ///< when the poll in flight counts as unanswered
     std::uint64_t latest_answered = 0; ///< number of the latest poll with an answer
     instant last_answer{};
-    int refused_polls = 0;
     int failures_in_row = 0; ///< failures of different jobs since the last success
     std::string last_failed_job;
     instant avoid_until{};
--- a/test/engine_reports_test.cpp
+++ b/test/engine_reports_test.cpp
@@ -97,3 +97,52 @@
     CHECK(world.starts().size() == 20);
     CHECK(world.owner().state("j") == pb::job_answer::completed);
 }
+
+// Guards against tasks that run twice because a target that can't be asked, or whose entry names a wrong
+// address, counts as gone while it works on.
+TEST_CASE("a run is given up when its target's lease expires, not when it can't be asked",
+          "[engine][recovery]") {
+    struct row {
+        const char* name;
+        command_outcome outcome;
+    };
+    const auto given = GENERATE(row{"its connections are refused", command_outcome::not_sent},
+                                row{"another target answers there", command_outcome::other_target},
+                                row{"its answers are lost", command_outcome::lost});
+    INFO(given.name);
+    const standin::job_target first{"t0", {4000, 64'000, 0}, start};
+    const standin::job_target second{"t1", {4000, 64'000, 0}, start};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    auto spec = simple_job("j", {simple_step(1, 500)});
+    spec.set_accepted_ms(to_ms(start));
+    job_engine engine{{.epoch = 2, .max_unknown_run_time = 7s}};
+    engine.set_config(config);
+    engine.restore({{"j", spec}}, {});
+    engine.restore_roster(start, {"t0", "t1"});
+    engine.set_targets(start, {first.entry(), second.entry()});
+    const auto run_until = [&](instant at, instant end, bool reachable) {
+        std::vector<std::string> started;
+        for (; at < end; at += 20ms) {
+            for (const auto& poll : engine.take_polls(at)) {
+                auto answer = answer_of(first);
+                answer.clock_ms += (at - start).count();
+                if (poll.target == "t0")
+                    answer.running = {{"j.0.0.0", 1, {}, 1.0}};
+                if (poll.target == "t0" && !reachable) {
+                    answer = {};
+                    answer.outcome = given.outcome;
+                }
+                engine.handle_poll_result(at, at, poll, answer);
+            }
+            engine.tick(at);
+            for (const auto& command : engine.take_commands(at))
+                started.push_back(command.target);
+        }
+        return started;
+    };
+    CHECK(run_until(start, start + 1s, true).empty());
+    // A lease of 4.5 s, renewed with the last poll that was answered.
+    CHECK(run_until(start + 1s, start + 5s, false).empty());
+    CHECK(run_until(start + 5s, start + 7s, false) == std::vector<std::string>{"t1"});
+}
