Log when an owner's right to command ends, and when a target lists only some of its ends

Until now the log told neither that an unconfirmed owner stopped (nor that it went on), nor that runs were judged by an incomplete list; the users' record could be read only by times.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -297,7 +297,15 @@
             require_confirmation("a long gap between ticks");
         if (m_needs_confirmation)
             return false;
-        return boot - m_confirmed <= confirmation_expiry;
+        const auto age = boot - m_confirmed;
+        if ((age > confirmation_expiry) != m_confirmation_expired) {
+            m_confirmation_expired = !m_confirmation_expired;
+            log_event(
+                m_confirmation_expired ? log_level::warning : log_level::info,
+                m_confirmation_expired ? "ownership_unconfirmed" : "ownership_confirmed",
+                {{"partition", std::to_string(m_options.number)}, {"age_ms", std::to_string(age.count())}});
+        }
+        return !m_confirmation_expired;
     }
 
     void collect(instant at, outbox& out) {
@@ -746,6 +754,7 @@
     stall_guard m_guard;
     milliseconds m_confirmed{0}; ///< `boot_time` of the last confirmation
     bool m_needs_confirmation = false;
+    bool m_confirmation_expired = false;
     overload_gate m_gate;
     adaptive_timeout m_start_timeout;          ///< for starts
     std::chrono::nanoseconds m_engine_time{0}; ///< time spent in the engine since the last report
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -84,6 +84,8 @@
         return "preempts a run for more urgent work; it resumes later: " + detail;
     if (line.event == "stray_run")
         return "stops an orphaned run: " + detail;
+    if (line.event == "occurrence_found")
+        return "a target runs or ran an occurrence that wasn't recorded: " + detail;
     if (line.event == "step_done")
         return "a step completed: " + detail;
     if (line.event == "job_ended")
@@ -106,6 +108,10 @@
         return "can reach the table again";
     if (line.event == "owner_stalled")
         return "was paused and sends no commands until its ownership is confirmed";
+    if (line.event == "ownership_unconfirmed")
+        return "sends no commands until the table confirms its ownership";
+    if (line.event == "ownership_confirmed")
+        return "sends commands again";
     if (line.event == "relay_failed")
         return "loses its relay " + field(line, "relay") + " with " + field(line, "lost") +
                " commands in flight";
@@ -121,6 +127,8 @@
         {"target_suspect", "a target doesn't respond: "},
         {"target_back", "a target responds again: "},
         {"target_restarted", "a target restarted: "},
+        {"target_lists_part", "a target lists only some of its ends: "},
+        {"target_lists_all", "a target lists all its ends again: "},
         {"target_failing", "a target fails consecutive runs: "},
         {"target_gone", "a target was removed: "}};
     const auto found = phrases.find(line.event);
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -335,6 +335,10 @@
         target.granted_ms = std::max(target.granted_ms, target.clock_ms + earlier.count());
         m_changed = true;
     }
+    if (result.complete == target.partly_listed)
+        add_event(result.complete ? "target_lists_all" : "target_lists_part", {},
+                  command.target + ": " + std::to_string(result.ended.size()) + " ends");
+    target.partly_listed = !result.complete;
     if (result.complete && !target.listed_all) {
         target.listed_all = true;
         m_unconfirmed_targets.erase(command.target);
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -58,11 +58,12 @@
 /// What the owner knows about one target.
 struct target_state {
     target_entry entry;
-    bool listed = true;      ///< it is in the current list of targets
-    bool in_roster = false;  ///< it is in the written roster, so that a later owner looks for runs there
-    bool contacted = false;  ///< it has answered this owner, so its runs are known
-    bool listed_all = false; ///< it has given this owner a complete list of its runs and ends
-    bool suspect = false;    ///< the last poll failed
+    bool listed = true;         ///< it is in the current list of targets
+    bool in_roster = false;     ///< it is in the written roster, so that a later owner looks for runs there
+    bool contacted = false;     ///< it has answered this owner, so its runs are known
+    bool listed_all = false;    ///< it has given this owner a complete list of its runs and ends
+    bool partly_listed = false; ///< the lists of its last answer were incomplete
+    bool suspect = false;       ///< the last poll failed
     resources held;
     std::map<std::string, live_run> runs; ///< by task name
     std::vector<orphaned_run> orphans;
--- a/src/node/partition_host.cpp
+++ b/src/node/partition_host.cpp
@@ -633,9 +633,7 @@
     }
 
     /// Returns whether this node may still renew leases: see docs/design/ownership.md.
-    bool may_renew(instant at) const {
-        return at - m_ownership_confirmed_at <= ownership_validity;
-    }
+    bool may_renew(instant at) const { return at - m_ownership_confirmed_at <= ownership_validity; }
 
     void poll_targets(instant at) {
         const bool renew = may_renew(at);
