Word the name of a test as one would say it

No caller saw anything: the name of the case in owned_partition_test, and the postmortem that quotes it, read "stops to command".

--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -193,7 +193,7 @@
 
 // Guards against tasks that run twice because an owner that is cut off goes on while a successor takes over:
 // no report of other nodes, and no silence, shows that there is none.
-TEST_CASE("an owner whose ownership isn't confirmed stops to command targets until it is",
+TEST_CASE("an owner whose ownership isn't confirmed stops commanding targets until it is",
           "[ownership][recovery]") {
     partition_under_test partition;
     target_entry target;
