Let gangs that ask for less pass gangs that find no place, too

Past the 40, a gang without advice is looked at unless one that asked for as little found no place in this pass. Gangs with advice wait as before, since each is good for targets of its own.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -336,10 +336,11 @@
 
     /// Steps that the same targets can run, apart from their needs: in one pass.
     struct step_group {
-        bool any_target = false;          ///< a usable target has the label
-        resources largest_capacity;       ///< of these targets, each resource by itself
-        std::size_t without_capacity = 0; ///< steps that were looked at and found no capacity
-        std::vector<resources> too_large; ///< needs of tasks that no target has room for now
+        bool any_target = false;                    ///< a usable target has the label
+        resources largest_capacity;                 ///< of these targets, each resource by itself
+        std::size_t without_capacity = 0;           ///< steps that were looked at and found no capacity
+        std::vector<resources> too_large;           ///< needs of tasks that no target has room for now
+        std::vector<const pb::step_spec*> too_wide; ///< gangs that found no capacity
     };
 
     // engine_schedule.cpp: placement of steps.
@@ -347,6 +348,8 @@
     /// Places the step if the pass still reaches its group and targets may have room for it.
     wait_cause consider(instant at, const ready_step& ready, std::set<std::string>& reserved);
     step_group& group_of(instant at, const ready_step& ready, const queue_policy& queue);
+    /// Whether the step may be looked at though many steps of its group found no capacity.
+    [[nodiscard]] bool may_pass(const step_group& group, const pb::step_spec& spec, bool advised) const;
     [[nodiscard]] static bool has_label(const target_state& target, const pb::step_spec& spec);
     /// Rotates the late steps, so that those at the front that find no capacity don't block the others
     /// forever when passes end early.
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -95,9 +95,8 @@
     auto& group = group_of(at, ready, queue->second);
     if (!group.any_target || !has_room(need_of(spec), group.largest_capacity))
         return wait_cause::no_usable_target;
-    // On a full fleet the order of steps is kept; beside much free capacity, small steps pass larger ones.
-    const bool passes = m_much_is_free && !spec.gang();
-    if (group.without_capacity >= max_steps_without_capacity && !passes)
+    const bool advised = queue->second.advice.has_value();
+    if (group.without_capacity >= max_steps_without_capacity && !may_pass(group, spec, advised))
         return wait_cause::not_reached;
     if (waits_for_advice(at, ready))
         return wait_cause::advice;
@@ -105,9 +104,22 @@
     const bool lacks_capacity = cause == wait_cause::no_capacity || cause == wait_cause::capacity_reserved ||
                                 cause == wait_cause::too_few_good_targets;
     group.without_capacity += lacks_capacity ? 1 : 0;
+    if (lacks_capacity && spec.gang() && !advised)
+        group.too_wide.push_back(&spec);
     return cause;
 }
 
+// On a full fleet the order of steps is kept; beside much free capacity, small steps pass larger ones.
+bool job_engine::may_pass(const step_group& group, const pb::step_spec& spec, bool advised) const {
+    if (!m_much_is_free || !spec.gang())
+        return m_much_is_free;
+    // Another gang may be good for other targets; apart from that, one that asks for no less fits no better.
+    return !advised && std::ranges::none_of(group.too_wide, [&](const pb::step_spec* known) {
+        const bool other_terms = known->max_per_target() > 0 || (known->same_rack() && !spec.same_rack());
+        return !other_terms && known->count() <= spec.count() && has_room(need_of(*known), need_of(spec));
+    });
+}
+
 job_engine::step_group& job_engine::group_of(instant at, const ready_step& ready, const queue_policy& queue) {
     const auto& spec = ready.job->spec.steps(ready.step);
     const auto [found, added] = m_groups.try_emplace({queue.service, spec.required_label()});
--- a/test/engine_schedule_test.cpp
+++ b/test/engine_schedule_test.cpp
@@ -32,12 +32,14 @@
         const char* label;
         std::int64_t cpu_milli;
         int gang_members;
+        int other_members;
     };
-    const auto given = GENERATE(row{"no target has their label", "absent", 500, 0},
-                                row{"the only target with their label is full", "special", 3500, 0},
-                                row{"they are larger than any target", "", 99'000, 0},
-                                row{"they are larger than what any target has free", "", 4000, 0},
-                                row{"gangs that are wider than what is free", "", 4000, 8});
+    const auto given = GENERATE(row{"no target has their label", "absent", 500, 0, 0},
+                                row{"the only target with their label is full", "special", 3500, 0, 0},
+                                row{"they are larger than any target", "", 99'000, 0, 0},
+                                row{"they are larger than what any target has free", "", 4000, 0, 0},
+                                row{"gangs that are wider than what is free", "", 4000, 8, 0},
+                                row{"gangs before smaller gangs", "", 4000, 8, 2});
     INFO(given.name);
     job_world world{{.targets = 12, .work = 60s}, 81};
     world.set_config([](cell_config& config) { config.queues.at("checks").latency_goal = 20s; });
@@ -52,9 +54,11 @@
     blocked.set_gang(given.gang_members > 0);
     blocked.set_required_label(given.label);
     submit_many(world, "blocked", 60, "checks", blocked);
-    submit_many(world, "other", 20, "bulk", simple_step(1, 500));
+    auto other = simple_step(std::max(given.other_members, 1), 250);
+    other.set_gang(given.other_members > 0);
+    submit_many(world, "other", 20, "bulk", other);
     world.run_for(2s);
     CHECK(starts_of(world, "blocked") == 0);
-    CHECK(starts_of(world, "other") == 20);
+    CHECK(starts_of(world, "other") == 20U * static_cast<std::size_t>(other.count()));
     CHECK(world.violation().empty());
 }
