--- a/test/engine_reports_test.cpp
+++ b/test/engine_reports_test.cpp
@@ -146,3 +146,28 @@
     CHECK(run_until(start + 1s, start + 5s, false).empty());
     CHECK(run_until(start + 5s, start + 7s, false) == std::vector<std::string>{"t1"});
 }
+
+// Guards against a log that doesn't tell from how much of a target's lists an owner judged its runs.
+TEST_CASE("an owner logs once when a target lists only some of its ends, and once when it lists all",
+          "[engine][log]") {
+    const standin::job_target target{"t0", {4000, 64'000, 0}, start};
+    job_engine engine{{.epoch = 2, .max_unknown_run_time = 7s}};
+    engine.restore({}, {});
+    engine.restore_roster(start, {"t0"});
+    engine.set_targets(start, {target.entry()});
+    std::vector<std::string> logged;
+    auto at = start;
+    for (const bool complete : {false, false, true, true}) {
+        const auto polls = engine.take_polls(at);
+        REQUIRE(polls.size() == 1);
+        auto answer = answer_of(target);
+        answer.complete = complete;
+        engine.handle_poll_result(at, at, polls.front(), answer);
+        for (const auto& event : engine.take_events()) {
+            if (event.what.starts_with("target_lists"))
+                logged.push_back(event.what);
+        }
+        at += 5s;
+    }
+    CHECK(logged == std::vector<std::string>{"target_lists_part", "target_lists_all"});
+}
