--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include "log.h"
 
 #include <algorithm>
+#include <atomic>
 #include <bit>
 #include <cctype>
 #include <cpprest/http_client.h>
@@ -55,6 +56,17 @@
     return result;
 }
 
+/// Counts how often the library sends a request: it repeats one by itself, on a new connection, if the server
+/// closes a kept connection instead of responding.
+std::shared_ptr<std::atomic<int>> count_sends(rest::http_request& request) {
+    const auto sends = std::make_shared<std::atomic<int>>(0);
+    request.set_progress_handler([sends](rest::message_direction::direction direction, std::uint64_t bytes) {
+        if (direction == rest::message_direction::upload && bytes == 0)
+            ++*sends;
+    });
+    return sends;
+}
+
 /// Logs exceptions of the callback. Nothing else would observe them, and an unobserved exception in a pplx
 /// task terminates the process.
 void invoke_callback(const std::function<void(http_result)>& done, http_result result) {
@@ -98,13 +110,14 @@
             request.headers().add(name, value);
         if (!call.body.empty() || call.method != "GET")
             request.set_body(call.body, call.content_type);
+        const auto sends = count_sends(request);
         client->request(request)
             .then([client](const rest::http_response& response) {
                 return response.extract_vector().then([response](const std::vector<unsigned char>& bytes) {
                     return to_result(response, bytes);
                 });
             })
-            .then([done](const pplx::task<http_result>& finished) {
+            .then([done, sends, call_path = call.path, base_url](const pplx::task<http_result>& finished) {
                 http_result result;
                 try {
                     result = finished.get();
@@ -113,6 +126,13 @@
                 } catch (const std::exception& error) {
                     result.reason = error.what();
                 }
+                if (*sends > 1)
+                    log_event(log_level::info, "request_resent",
+                              {{"server", base_url},
+                               {"path", call_path},
+                               {"sends", std::to_string(*sends)},
+                               {"status", std::to_string(result.status)},
+                               {"reason", result.reason}});
                 invoke_callback(done, std::move(result));
             });
     } catch (const std::exception& error) {
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -287,7 +287,7 @@
     void stop_gang(job_state& job, const task_name& name);
     void check_unconfirmed_gangs(instant at);
     void stop_partial_gangs(instant at, job_state& job);
-    void handle_restart(instant at, target_state& target, std::int64_t born_ms);
+    void handle_restart(instant at, target_state& target, std::int64_t born_ms, std::string_view source);
     void check_lease_expiry(instant at);
     void finish_recovery(instant at);
 
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -48,7 +48,8 @@
     job_state* job = nullptr;
     auto* step = find_step(run.task, &job);
     add_event("run_dropped", run.task.job,
-              target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + std::string{why});
+              target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + std::string{why} +
+                  "; " + describe_evidence(at, run));
     if (step == nullptr)
         return;
     auto& task = step->tasks[static_cast<std::size_t>(run.task.index)];
@@ -189,8 +190,13 @@
 
 // ---- Restarts and leases of targets ----
 
-void job_engine::handle_restart(instant at, target_state& target, std::int64_t born_ms) {
-    add_event("target_restarted", {}, target.entry.id);
+void job_engine::handle_restart(instant at, target_state& target, std::int64_t born_ms,
+                                std::string_view source) {
+    add_event("target_restarted", {},
+              target.entry.id + ": by " + std::string{source} + ", born " + std::to_string(born_ms) +
+                  " after " + std::to_string(target.entry.born_ms) + ", its last lists are " +
+                  std::to_string((at - target.last_answer).count()) + " ms old, " +
+                  std::to_string(target.runs.size()) + " runs");
     drop_all(at, target, "its target restarted", false);
     for (auto& [text, run] : target.runs) {
         run.stop_confirmed = {};
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -77,7 +77,7 @@
         auto [found, added] = m_targets.try_emplace(entry.id);
         auto& target = found->second;
         if (!added && entry.born_ms != 0 && target.entry.born_ms != 0 && entry.born_ms > target.entry.born_ms)
-            handle_restart(at, target, entry.born_ms);
+            handle_restart(at, target, entry.born_ms, "its entry");
         const auto born = std::max(entry.born_ms, target.entry.born_ms);
         target.entry = entry;
         target.entry.born_ms = born;
@@ -315,7 +315,7 @@
         add_event("target_back", {}, command.target);
     target.suspect = false;
     if (result.born_ms != 0 && target.entry.born_ms != 0 && result.born_ms > target.entry.born_ms)
-        handle_restart(at, target, result.born_ms);
+        handle_restart(at, target, result.born_ms, "its lists");
     else if (result.born_ms != 0 && result.born_ms < target.entry.born_ms)
         return; // an answer of an earlier incarnation
     target.entry.born_ms = std::max(target.entry.born_ms, result.born_ms);
@@ -366,6 +366,7 @@
                 if (auto* job = find(run.task.job))
                     job->started = true;
             }
+            run.listed_at = at;
             run.worked = run.worked || found->second->usage > 0;
             if (!found->second->saved.empty())
                 run.saved_state = found->second->saved;
@@ -426,7 +427,7 @@
     adopted.team = job->team;
     adopted.phase = run_phase::running;
     adopted.start_sent = true;
-    adopted.placed_at = adopted.confirmed_at = at;
+    adopted.placed_at = adopted.confirmed_at = adopted.listed_at = at;
     adopted.saved_state = run.saved;
     adopted.worked = run.usage > 0;
     adopted.preemption = preemption_terms_of({job, name.occurrence, name.step, &step->sort_key}, task);
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+std::string describe_evidence(instant at, const live_run& run) {
+    const auto age = [&](instant then) { return std::to_string((at - then).count()) + " ms ago"; };
+    if (run.listed_at != instant{})
+        return "listed " + age(run.listed_at);
+    if (run.confirmed_at != instant{})
+        return "its start was answered " + age(run.confirmed_at) + ", it wasn't listed";
+    return run.start_sent ? "its start has no answer" : "its start wasn't sent";
+}
+
 std::uint64_t target_state::fence(std::uint64_t epoch) const {
     return (entry.transfers << epoch_bits) | epoch;
 }
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -34,6 +34,7 @@
     int unanswered_starts = 0; ///< start commands without a response; each may still be carried out
     instant placed_at{};
     instant confirmed_at{}; ///< when the target confirmed that it runs
+    instant listed_at{};    ///< when a list of the target last named it
     bool stop_wanted = false;
     bool stop_in_flight = false; ///< a stop command is in flight
     instant next_stop{};
@@ -43,6 +44,9 @@
     std::optional<preemption_terms> preemption;
 };
 
+/// For the log: by what the run counts as running, and how old that is.
+std::string describe_evidence(instant at, const live_run& run);
+
 /// A run that a target reports but that the owner doesn't track. It is stopped, and counts as using its
 /// resources until it is gone.
 struct orphaned_run {
