--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -138,6 +138,11 @@
     m_fleet->targets.at(target).restart(m_at);
 }
 
+void job_world::read_entries() {
+    m_owner->set_targets(m_at, entries());
+    deliver_messages();
+}
+
 void job_world::forget_progress() {
     for (auto& [id, row] : m_progress) {
         if (row.state() == pb::job_progress::open)
@@ -267,6 +272,14 @@
         violate("a task runs at two targets: " + task);
 }
 
+void job_world::carry_out_late(instant due, const start_stop_command& command) {
+    const auto incarnation = m_fleet->targets.at(command.target).entry().born_ms;
+    m_messages.emplace(due, [this, command, incarnation] {
+        if (m_fleet->targets.at(command.target).entry().born_ms == incarnation)
+            carry_out(command);
+    });
+}
+
 void job_world::send(const start_stop_command& command) {
     const auto owner = m_owner;
     const auto command_timeout = command.kind == command_kind::start ? start_timeout : stop_timeout;
@@ -280,7 +293,7 @@
         const bool carried = m_late > 0ms || m_random() % 2 == 0;
         const auto late = m_late > 0ms ? m_late : milliseconds{2000 + static_cast<int>(m_random() % 10'000)};
         if (carried)
-            m_messages.emplace(m_at + late, [this, command] { carry_out(command); });
+            carry_out_late(m_at + late, command);
         return;
     }
     m_messages.emplace(m_at + delay(), [this, owner, command, command_timeout, answer] {
@@ -387,6 +400,11 @@
     m_faulty = true;
     const auto pick = [&](std::uint64_t most) { return m_random() % most; };
     const auto any_target = "t" + std::to_string(pick(m_fleet->targets.size()));
+    constexpr std::uint64_t restart_one_in = 6;
+    if (m_options.restarts && pick(restart_one_in) == 0)
+        restart(any_target);
+    if (m_options.restarts && pick(restart_one_in) == 0)
+        read_entries();
     constexpr std::uint64_t kinds = 13;
     switch (pick(kinds)) {
     case 0:
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -25,8 +25,8 @@
 };
 
 /// Simulates consecutive owners of a partition over the same rows and targets, in virtual time. Messages may
-/// be late, be lost in either direction, or be carried out seconds later; targets may stop responding or
-/// restart.
+/// be late, be lost in either direction, or be carried out seconds later, unless the target has restarted
+/// meanwhile; targets may stop responding or restart.
 class job_world {
 public:
     struct options {
@@ -37,6 +37,7 @@
         bool share_rates = false;
         int good_one_in = 0; ///< one in this many targets is good for a step; 0: the advice service fails
         int partition = 0;
+        bool restarts = false; ///< targets restart under their ids, and their entries tell of it late
     };
 
     job_world(options given, std::uint64_t seed);
@@ -51,6 +52,8 @@
     void take_over();
     void make_unresponsive(const std::string& target, milliseconds time);
     void restart(const std::string& target);
+    /// The owner learns the targets' entries, as the store has them.
+    void read_entries();
     /// Resets progress rows to their state at acceptance, as if no delayed write had been done.
     void forget_progress();
     void forget_job(const std::string& job);
@@ -108,6 +111,8 @@
     void send(const start_stop_command& command);
     void poll(const target_poll_command& command);
     void carry_out(const start_stop_command& command);
+    /// Carries it out at a time, unless the target has restarted by then.
+    void carry_out_late(instant due, const start_stop_command& command);
     void record_acknowledged_ends();
     void check_completed();
     void violate(const std::string& what);
--- a/test/standin/job_target.cpp
+++ b/test/standin/job_target.cpp
@@ -4,6 +4,12 @@
 
 namespace medlarhub::standin {
 
+namespace {
+
+constexpr milliseconds longest_lease{6000};
+
+} // namespace
+
 job_target::job_target(std::string id, resources capacity, instant at)
     : m_id{std::move(id)}, m_capacity{capacity}, m_incarnation_start{at} {}
 
@@ -14,13 +20,17 @@
     return false;
 }
 
+void job_target::extend_lease(instant at, std::int64_t deadline_ms) {
+    m_deadline_ms = std::max(m_deadline_ms, std::min(deadline_ms, clock(at) + longest_lease.count()));
+}
+
 command_outcome job_target::start(instant at, const start_stop_command& command, const resources& need,
                                   milliseconds work) {
     if (is_fenced(command.fence))
         return command_outcome::fenced;
     if (command.deadline_ms <= clock(at))
         return command_outcome::too_late;
-    m_deadline_ms = std::max(m_deadline_ms, command.deadline_ms);
+    extend_lease(at, command.deadline_ms);
     const auto task = command.task.to_string();
     const auto present = m_running.find(task);
     if (present != m_running.end() && present->second.number == command.run)
@@ -52,7 +62,7 @@
         return result;
     }
     if (command.deadline_ms)
-        m_deadline_ms = std::max(m_deadline_ms, *command.deadline_ms);
+        extend_lease(at, *command.deadline_ms);
     std::erase_if(m_ended, [&](const reported_end& each) {
         if (each.number > command.acked_upto)
             return false;
--- a/test/standin/job_target.h
+++ b/test/standin/job_target.h
@@ -9,8 +9,9 @@
 
 namespace medlarhub::standin {
 
-/// An in-memory target: checks fencing tokens, expires its lease by its own clock, refuses to start a run
-/// that was stopped or has ended, lists ends until they are acknowledged, and keeps its id across restarts.
+/// An in-memory target: checks fencing tokens, shortens leases to a maximum, expires them by its own clock,
+/// refuses to start a run that was stopped or has ended, lists ends until they are acknowledged, and keeps
+/// its id across restarts.
 class job_target {
 public:
     struct run_state {
@@ -47,6 +48,7 @@
 private:
     [[nodiscard]] std::int64_t clock(instant at) const { return (at - m_incarnation_start).count(); }
     [[nodiscard]] bool is_fenced(std::uint64_t epoch);
+    void extend_lease(instant at, std::int64_t deadline_ms);
     void end(const std::string& task, end_kind how);
 
     std::string m_id;
