Let a refusal of a request that the library sent twice leave its outcome unknown

Cause: cpprestsdk sends a request again by itself, on a new connection, if the server closes a kept one instead of answering. The server may have carried the first send out. The answer to the last send came back as an ordinary one, so 409, 421, 429 or 503 to a start meant "it doesn't run" for all sends, and the task was placed elsewhere while it ran: what was learned about one send was taken for all.

Change: the client counts the sends by the progress of the upload, which begins at 0 each time. If there were several, anything but a 2xx of a call that isn't a GET leaves the outcome unknown, so that a start is sent again to the same target under its number. For the store nothing changes but the reason: a write that isn't acknowledged is read back in either case.

Not the cause of the users' record: there each target had the run, and would have answered 200 to a second send.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -59,7 +59,7 @@
 /// Counts how often the library sends a request: it repeats one by itself, on a new connection, if the server
 /// closes a kept connection instead of responding.
 std::shared_ptr<std::atomic<int>> count_sends(rest::http_request& request) {
-    const auto sends = std::make_shared<std::atomic<int>>(0);
+    auto sends = std::make_shared<std::atomic<int>>(0);
     request.set_progress_handler([sends](rest::message_direction::direction direction, std::uint64_t bytes) {
         if (direction == rest::message_direction::upload && bytes == 0)
             ++*sends;
@@ -67,6 +67,21 @@
     return sends;
 }
 
+/// Only the last send of a request has a response. A refusal says nothing about the earlier ones.
+void judge_resends(int sends, const std::string& method, const std::string& url, http_result& result) {
+    if (sends <= 1)
+        return;
+    if (method != "GET" && !result.ok()) {
+        result.delivery = http_delivery::unknown;
+        result.reason += (result.reason.empty() ? "" : "; ") + std::string{"sent more than once"};
+    }
+    log_event(log_level::info, "request_resent",
+              {{"url", url},
+               {"sends", std::to_string(sends)},
+               {"status", std::to_string(result.status)},
+               {"reason", result.reason}});
+}
+
 /// Logs exceptions of the callback. Nothing else would observe them, and an unobserved exception in a pplx
 /// task terminates the process.
 void invoke_callback(const std::function<void(http_result)>& done, http_result result) {
@@ -117,7 +132,8 @@
                     return to_result(response, bytes);
                 });
             })
-            .then([done, sends, call_path = call.path, base_url](const pplx::task<http_result>& finished) {
+            .then([done, sends, method = call.method, path = call.path,
+                   base_url](const pplx::task<http_result>& finished) {
                 http_result result;
                 try {
                     result = finished.get();
@@ -126,13 +142,7 @@
                 } catch (const std::exception& error) {
                     result.reason = error.what();
                 }
-                if (*sends > 1)
-                    log_event(log_level::info, "request_resent",
-                              {{"server", base_url},
-                               {"path", call_path},
-                               {"sends", std::to_string(*sends)},
-                               {"status", std::to_string(result.status)},
-                               {"reason", result.reason}});
+                judge_resends(*sends, method, base_url + path, result);
                 invoke_callback(done, std::move(result));
             });
     } catch (const std::exception& error) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,7 +21,7 @@
 enum class http_delivery {
     answered, ///< a complete response arrived
     not_sent, ///< the connection was refused or the call is invalid: the server did not get the call
-    unknown   ///< any other failure: the call may have taken effect
+    unknown   ///< anything else: the call, or an earlier send of it, may have taken effect
 };
 
 struct http_result {
