Tell a successor of the longest lease while a restarted target may hold it

An owner now records the longest lease from a restart on, and from an answered start whose clock doesn't show which incarnation took it, for as long as such a lease may last.

Tried and dropped: a successor that always waits for the longest lease. Not covered: a start that is in flight when its owner ends, and an owner that was cut off together with such a target and went on until its right ended.

Tests: engine_restarts_test "an owner records the longest lease", owned_partition_test "a new owner waits for the longest lease"; neither the method nor the setting existed before.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -628,6 +628,7 @@
         {
             const std::lock_guard lock{m_mutex};
             rows = m_engine->take_rows(now());
+            m_rows.set_lease(m_engine->longest_granted(now()));
             if (m_engine->runs_known())
                 m_rows.forget_earlier_lease();
         }
@@ -705,6 +706,10 @@
     }
 
     void give_up() {
+        {
+            const std::lock_guard lock{m_mutex};
+            m_rows.set_lease(m_engine->longest_granted(now()));
+        }
         const auto outcome = m_rows.release();
         close(outcome == row_outcome::written ? "released" : "released, but the table gave no answer");
     }
--- a/src/cell/partition_rows.cpp
+++ b/src/cell/partition_rows.cpp
@@ -81,7 +81,8 @@
 partition_rows::partition_rows(table& rows, int partition, std::string owner, std::string peer_address,
                                milliseconds longest_lease)
     : m_rows{rows}, m_prefix{prefix_of(partition)}, m_owner{std::move(owner)},
-      m_peer_address{std::move(peer_address)}, m_longest_lease{longest_lease} {}
+      m_peer_address{std::move(peer_address)}, m_longest_lease{longest_lease}, m_lease{lease_to_request(
+                                                                                   longest_lease)} {}
 
 std::string partition_rows::key(const char* kind, const std::string& name) const {
     return m_prefix + kind + "/" + name;
@@ -136,7 +137,7 @@
 row_outcome partition_rows::commit(const pb::partition_head& from, std::vector<table_write> writes) {
     auto next = from;
     next.set_sequence(m_head.sequence() + 1);
-    next.set_lease_ms(std::max(lease_to_request(m_longest_lease), m_earlier_lease).count());
+    next.set_lease_ms(std::max(m_lease, m_earlier_lease).count());
     table_write head{key(head_kind, head_name), next.SerializeAsString(),
                      m_version == 0 ? write_condition::absent : write_condition::version, m_version, false};
     writes.insert(writes.begin(), std::move(head));
--- a/src/cell/partition_rows.h
+++ b/src/cell/partition_rows.h
@@ -59,6 +59,8 @@
     [[nodiscard]] bool sole_owner() const { return m_sole_owner; }
     /// The longest lease of previous owners under which tasks may still run; 0 if there are none.
     [[nodiscard]] milliseconds earlier_lease() const { return m_earlier_lease; }
+    /// The longest lease under which tasks of this owner may run; recorded with the next write.
+    void set_lease(milliseconds granted) { m_lease = granted; }
     /// Records that all tasks of previous owners are known or have ended.
     void forget_earlier_lease() { m_earlier_lease = {}; }
 
@@ -72,6 +74,7 @@
     std::string m_owner;
     std::string m_peer_address;
     milliseconds m_longest_lease;
+    milliseconds m_lease;
     milliseconds m_earlier_lease{0};
     pb::partition_head m_head;
     std::int64_t m_version = 0; ///< of the head row; 0 if it doesn't exist
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -107,6 +107,8 @@
 
     /// For the log: for some of the team limits that hold work back, what is in use and what is needed.
     [[nodiscard]] std::string describe_limits() const;
+    /// The longest lease under which tasks may run: longer than what was asked for where a target restarted.
+    [[nodiscard]] milliseconds longest_granted(instant at) const;
     /// False after a takeover while targets that haven't answered yet may run tasks.
     [[nodiscard]] bool runs_known() const { return !m_recovering; }
 
@@ -292,6 +294,8 @@
     void stop_partial_gangs(instant at, job_state& job);
     /// The store's entry tells of a new incarnation. It proves nothing about any run, so the target is asked.
     void ask_after_restart(instant at, target_state& target, std::int64_t born_ms);
+    /// A later incarnation may have taken a deadline on the earlier clock.
+    void note_longest_lease(instant at);
     /// The target's lists are those of a new incarnation.
     void handle_restart(instant at, target_state& target, const poll_result& result);
     void check_lease_expiry(instant at);
@@ -426,6 +430,7 @@
     std::set<task_name> m_orphaned_tasks;        ///< as of the last pass
     std::set<std::string> m_unconfirmed_targets; ///< of the roster, not contacted since the takeover
     instant m_recovery_ends{};
+    instant m_longest_granted_until{}; ///< until then runs may hold the longest lease that targets grant
     bool m_recovering = false;
     instant m_next_gang_check{};
     std::map<std::string, resources> m_held; ///< by team
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -201,9 +201,18 @@
     target.next_poll = at;
 }
 
+void job_engine::note_longest_lease(instant at) {
+    m_longest_granted_until = std::max(m_longest_granted_until, at + lasts_at_most(m_options.longest_lease));
+}
+
+milliseconds job_engine::longest_granted(instant at) const {
+    return at < m_longest_granted_until ? m_options.longest_lease : m_options.lease;
+}
+
 void job_engine::handle_restart(instant at, target_state& target, const poll_result& result) {
     add_event("target_restarted", {}, target.entry.id + ": " + describe_restart(at, target, result.born_ms));
     ++target.incarnation;
+    note_longest_lease(at);
     target.listed_born_ms = result.born_ms;
     for (auto& [text, run] : target.runs)
         run.stop_confirmed = {};
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -205,6 +205,8 @@
         run.confirmed_at = at;
         if (reply.clock_ms && target.is_clock_of_listed(at, *reply.clock_ms))
             run.incarnation = target.incarnation;
+        else
+            note_longest_lease(at);
         target.next_poll = std::min(target.next_poll, at);
         if (job != nullptr)
             job->started = true;
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -61,16 +61,16 @@
 }
 
 instant target_state::lease_expiry(milliseconds longest_lease) const {
-    const auto at_most = [](std::int64_t by_its_clock) {
-        return milliseconds{
-                   static_cast<std::int64_t>(static_cast<double>(by_its_clock) / (1 - clock_drift))} +
-               clock_margin;
-    };
-    const auto expiry = clock_read + at_most(granted_ms - clock_ms);
+    const auto expiry = clock_read + lasts_at_most(milliseconds{granted_ms - clock_ms});
     if (all_runs_located())
         return expiry;
     // A later incarnation took deadlines on this clock for the longest lease.
-    return std::max(expiry, last_grant + max_command_delay + at_most(longest_lease.count()));
+    return std::max(expiry, last_grant + max_command_delay + lasts_at_most(longest_lease));
+}
+
+milliseconds lasts_at_most(milliseconds lease) {
+    const auto longest = static_cast<double>(lease.count()) / (1 - clock_drift);
+    return milliseconds{static_cast<std::int64_t>(longest)} + clock_margin;
 }
 
 bool has_room(const resources& need, const resources& free) {
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -124,6 +124,8 @@
     [[nodiscard]] instant lease_expiry(milliseconds longest_lease) const;
 };
 
+/// How long a lease may last by this node's clock.
+milliseconds lasts_at_most(milliseconds lease);
 /// Whether `need` fits into `free`. A need of 0 always fits, even if `free` is negative.
 bool has_room(const resources& need, const resources& free);
 /// How many times `need` fits into `free`.
--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -71,6 +71,23 @@
     CHECK(world.violation().empty());
 }
 
+// Guards against a successor that isn't told of it.
+TEST_CASE("an owner records the longest lease while a restarted target may hold it", "[engine][restarts]") {
+    job_world world{{.targets = 1, .work = 300ms, .faults = false}, 11};
+    world.run_for(20s);
+    world.submit(simple_job("early", {simple_step(1, 1000)}));
+    world.run_for(5s);
+    CHECK(world.owner().longest_granted(world.at()) == 4500ms);
+    world.restart("t0");
+    world.submit(simple_job("late", {simple_step(1, 1000)}));
+    world.run_for(60ms);
+    CHECK(world.owner().longest_granted(world.at()) == 6000ms);
+    world.run_for(5s);
+    CHECK(world.owner().longest_granted(world.at()) == 6000ms);
+    world.run_for(2s);
+    CHECK(world.owner().longest_granted(world.at()) == 4500ms);
+}
+
 TEST_CASE("promises hold over random orders of faults with targets that restart under their ids",
           "[engine][restarts][faults]") {
     constexpr int worlds = 300;
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -277,6 +277,19 @@
     CHECK(next.earlier_lease() == given.waits);
 }
 
+// Guards against a successor that starts a task again while a target that restarted holds a longer lease.
+TEST_CASE("a new owner waits for the longest lease if the owner before it may have granted that",
+          "[ownership][recovery][restarts]") {
+    standin::memory_table rows;
+    partition_rows owner{rows, 0, "n1/1", "a", 6s};
+    REQUIRE(owner.take());
+    owner.set_lease(6s);
+    REQUIRE(owner.release() == row_outcome::written);
+    partition_rows next{rows, 0, "n2/1", "a", 6s};
+    REQUIRE(next.take());
+    CHECK(next.earlier_lease() == 6s);
+}
+
 TEST_CASE("work of silent targets doesn't wait longer where longer leases are allowed", "[ownership]") {
     CHECK(lease_to_request(3s) < 3s);
     CHECK(lease_to_request(6s) < 6s);
