--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -271,7 +271,8 @@
     void release(target_state& target, const live_run& run);
     void note_outcome(const target_state& target, std::uint64_t fence, command_outcome outcome);
     void drop_run(instant at, target_state& target, const std::string& task, std::string_view why);
-    void drop_all(instant at, target_state& target, std::string_view why);
+    /// Drops the runs whose lease has expired at a target that can't be asked.
+    void drop_expired(instant at, target_state& target);
     void request_stop(live_run& run);
     void process_end(instant at, target_state& target, const reported_end& end);
     void run_failed(instant at, target_state& target, job_state& job, const task_name& name, int number);
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -66,12 +66,15 @@
     stop_gang(*job, run.task);
 }
 
-void job_engine::drop_all(instant at, target_state& target, std::string_view why) {
+void job_engine::drop_expired(instant at, target_state& target) {
+    const bool all = at >= target.longest_lease_expiry(m_options.longest_lease);
     std::vector<std::string> texts;
-    for (const auto& [text, run] : target.runs)
-        texts.push_back(text);
+    for (const auto& [text, run] : target.runs) {
+        if (all || run.incarnation != 0)
+            texts.push_back(text);
+    }
     for (const auto& text : texts)
-        drop_run(at, target, text, why);
+        drop_run(at, target, text, "its lease expired");
     target.orphans.clear();
 }
 
@@ -233,10 +236,9 @@
     m_stop_may_be_due = true;
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         auto& target = it->second;
-        const bool expired = target.suspect && target.clock_read != instant{} &&
-                             at >= target.lease_expiry(m_options.longest_lease);
-        if (expired && !(target.runs.empty() && target.orphans.empty()))
-            drop_all(at, target, "its lease expired");
+        const bool expired = target.suspect && target.clock_read != instant{} && at >= target.lease_expiry();
+        if (expired)
+            drop_expired(at, target);
         if (expired)
             m_unconfirmed_targets.erase(it->first);
         const bool is_gone = !target.listed && target.suspect && target.runs.empty() &&
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -60,12 +60,12 @@
         runs, [](const auto& each) { return !each.second.start_sent || each.second.incarnation != 0; });
 }
 
-instant target_state::lease_expiry(milliseconds longest_lease) const {
-    const auto expiry = clock_read + lasts_at_most(milliseconds{granted_ms - clock_ms});
-    if (all_runs_located())
-        return expiry;
-    // A later incarnation took deadlines on this clock for the longest lease.
-    return std::max(expiry, last_grant + max_command_delay + lasts_at_most(longest_lease));
+instant target_state::lease_expiry() const {
+    return clock_read + lasts_at_most(milliseconds{granted_ms - clock_ms});
+}
+
+instant target_state::longest_lease_expiry(milliseconds longest_lease) const {
+    return std::max(lease_expiry(), last_grant + max_command_delay + lasts_at_most(longest_lease));
 }
 
 milliseconds lasts_at_most(milliseconds lease) {
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -120,8 +120,11 @@
     [[nodiscard]] bool all_runs_located() const;
     /// Whether no restart that its entry told of is still to be settled by its own lists.
     [[nodiscard]] bool is_settled() const { return latest_answered >= settled_by; }
-    /// When, by this node's clock, all runs under the latest lease have certainly ended.
-    [[nodiscard]] instant lease_expiry(milliseconds longest_lease) const;
+    /// When, by this node's clock, all runs under the latest lease have certainly ended that surely are at
+    /// the incarnation whose lists were read last.
+    [[nodiscard]] instant lease_expiry() const;
+    /// The same for all other runs: a later incarnation took deadlines on that clock for the longest lease.
+    [[nodiscard]] instant longest_lease_expiry(milliseconds longest_lease) const;
 };
 
 /// How long a lease may last by this node's clock.
--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -71,6 +71,24 @@
     CHECK(world.violation().empty());
 }
 
+// Guards against listed runs that wait for a lease which only a start without an answer may hold.
+TEST_CASE("runs that a silent target had listed are given up before a start that it didn't answer",
+          "[engine][restarts]") {
+    job_world world{{.targets = 2, .work = 60s, .faults = false}, 12};
+    world.run_for(10s);
+    world.submit(simple_job("listed", {simple_step(1, 1000)}));
+    world.run_for(500ms);
+    REQUIRE(world.starts().size() == 1);
+    world.make_unresponsive(world.starts().front().substr(world.starts().front().find('@') + 1), 30s);
+    world.submit(simple_job("unanswered", {simple_step(1, 1000)}));
+    world.run_for(6200ms);
+    REQUIRE(world.starts().size() == 2);
+    CHECK(world.starts().back().starts_with("listed"));
+    world.run_for(3s);
+    REQUIRE(world.starts().size() == 3);
+    CHECK(world.starts().back().starts_with("unanswered"));
+}
+
 // Guards against a successor that isn't told of it.
 TEST_CASE("an owner records the longest lease while a restarted target may hold it", "[engine][restarts]") {
     job_world world{{.targets = 1, .work = 300ms, .faults = false}, 11};
