Let a suspended owner trust no clock that it read before

Found on reading again. An answer tells by its clock which incarnation took a start: it must show more time than has passed since the target's lists were asked for. The clock of the owner's process doesn't count the time while its machine is suspended, so that after a suspension a new incarnation could pass for the listed one, and its run be given up or its end forgotten unread.

When the time since boot has gained on the process's clock, the owner forgets when it asked; the next lists tell again. Leases and confirmations were safe: they only get longer, or go by the time since boot.

Tests: engine_restarts_test "a start's answer tells the incarnation by its clock", whose first and last row differ by the suspension alone; owned_partition_test "a suspension shows".

--- a/src/cell/clocks.h
+++ b/src/cell/clocks.h
@@ -2,6 +2,8 @@
 
 #include "medlarhub/time.h"
 
+#include <optional>
+
 namespace medlarhub {
 
 /// Returns the time since the machine booted, including time spent suspended.
@@ -22,4 +24,15 @@
     milliseconds m_last{0};
 };
 
+/// Detects that the process was suspended, which `now` doesn't count.
+class suspension_guard {
+public:
+    /// Both times are read at the same moment; returns true if a suspension lies between this and the last
+    /// call.
+    bool has_suspended(milliseconds boot, instant at);
+
+private:
+    std::optional<milliseconds> m_ahead; ///< of the time since boot before the other one
+};
+
 } // namespace medlarhub
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -260,6 +260,8 @@
             const std::lock_guard lock{m_mutex};
             const auto began = std::chrono::steady_clock::now();
             const auto at = now();
+            if (m_suspension.has_suspended(boot_time(), at) && m_engine)
+                m_engine->forget_clocks();
             body(at);
             collect(at, out);
             m_engine_time += std::chrono::steady_clock::now() - began;
@@ -756,6 +758,7 @@
     std::vector<waiter> m_waiters;
     std::vector<std::function<void()>> m_answers;
     stall_guard m_guard;
+    suspension_guard m_suspension;
     milliseconds m_confirmed{0}; ///< `boot_time` of the last confirmation
     bool m_needs_confirmation = false;
     bool m_confirmation_expired = false;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -97,6 +97,10 @@
     void handle_poll_result(instant at, instant sent, const target_poll_command& command,
                             const poll_result& result);
 
+    /// This process was suspended, which its clock doesn't count: no clock of a target that was read before
+    /// tells which incarnation answers now.
+    void forget_clocks();
+
     // Advice service.
     [[nodiscard]] std::vector<advice_request> take_advice_requests();
     void handle_advice(instant at, const advice_request& request, const std::vector<advice_ticket>& good,
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -204,6 +204,11 @@
     target.next_poll = at;
 }
 
+void job_engine::forget_clocks() {
+    for (auto& [id, target] : m_targets)
+        target.clock_asked = {};
+}
+
 void job_engine::note_longest_lease(instant at) {
     m_longest_granted_until = std::max(m_longest_granted_until, at + lasts_at_most(m_options.longest_lease));
 }
--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -122,6 +122,52 @@
     }
 }
 
+// Guards against a clock that seems to show more time than has passed, because this process was suspended.
+TEST_CASE("a start's answer tells the incarnation by its clock, unless this process was suspended",
+          "[engine][restarts]") {
+    struct row {
+        const char* name;
+        milliseconds clock;
+        bool suspended;
+        std::int64_t acked_upto;
+    };
+    const auto given = GENERATE(row{"the clock of the listed incarnation", 10s, false, 1},
+                                row{"a clock that started after the lists were asked for", 400ms, false, 0},
+                                row{"after a suspension", 10s, true, 0});
+    INFO(given.name);
+    const instant start{std::chrono::hours{1000}};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    job_engine engine{{}};
+    engine.set_config(config);
+    engine.restore({}, {});
+    engine.set_targets(start, {standin::job_target{"t0", {4000, 64'000, 0}, start - 10s}.entry()});
+    (void)engine.take_rows(start);
+    engine.rows_written(start);
+    auto polls = engine.take_polls(start);
+    REQUIRE(polls.size() == 1);
+    poll_result lists;
+    lists.outcome = command_outcome::done;
+    lists.clock_ms = 10'000;
+    lists.born_ms = to_ms(start - 10s);
+    lists.complete = true;
+    lists.ended = {{1, "old.0.0.0", 1, end_kind::stopped, {}}};
+    engine.handle_poll_result(start, start, polls.front(), lists);
+    (void)engine.accept(start + 300ms, simple_job("j", {simple_step(1, 1000)}));
+    (void)engine.take_rows(start + 300ms);
+    engine.rows_written(start + 300ms);
+    engine.tick(start + 300ms);
+    const auto commands = engine.take_commands(start + 300ms);
+    REQUIRE(commands.size() == 1);
+    if (given.suspended)
+        engine.forget_clocks();
+    engine.handle_command_result(start + 310ms, commands.front(),
+                                 {command_outcome::done, given.clock.count()});
+    polls = engine.take_polls(start + 320ms);
+    REQUIRE(polls.size() == 1);
+    CHECK(polls.front().acked_upto == given.acked_upto);
+}
+
 // Guards against lists that are taken for those of an earlier incarnation, for good, because an entry or a
 // clock that was set back gave a wrong start.
 TEST_CASE("a target's own lists count, whatever start its entry or its clock tells", "[engine][restarts]") {
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -1,4 +1,5 @@
 #include "cell/lease.h"
+#include "cell/clocks.h"
 #include "cell/owned_partition.h"
 #include "cell/partition_rows.h"
 
@@ -277,6 +278,15 @@
     CHECK(next.earlier_lease() == given.waits);
 }
 
+TEST_CASE("a suspension shows as time since boot that the process's clock didn't count", "[ownership]") {
+    const instant start{1h};
+    suspension_guard guard;
+    CHECK_FALSE(guard.has_suspended(5s, start));
+    CHECK_FALSE(guard.has_suspended(9s, start + 4s));
+    CHECK(guard.has_suspended(9200ms, start + 4s + 100ms));
+    CHECK_FALSE(guard.has_suspended(10s, start + 4900ms));
+}
+
 // Guards against a successor that starts a task again while a target that restarted holds a longer lease.
 TEST_CASE("a new owner waits for the longest lease if the owner before it may have granted that",
           "[ownership][recovery][restarts]") {
