Send a poll again without what was decided for the target's incarnation

If the target restarted unseen and took and finished a start in between, the old acknowledgement made it forget an end that nobody had read, and the task ran again. The second send now carries neither acknowledgement nor deadline.

--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -38,6 +38,7 @@
         pb::target_command command;
         result_callback done;
         std::function<void()> send_direct; ///< sends it without a relay
+        std::function<void()> send_again;  ///< the same, of a poll that the relay may have carried out
         instant expires{};
     };
 
@@ -249,6 +250,7 @@
                 peer_delivery delivery) {
         std::vector<open_command> lost;
         std::vector<open_command> unsent;
+        std::vector<open_command> repeated;
         {
             const std::lock_guard lock{m_mutex};
             const auto known = m_lanes.find(relay);
@@ -262,10 +264,10 @@
                 if (auto node = lane.open.extract(number))
                     unsent.push_back(std::move(node.mapped()));
             }
-            // Polls are idempotent, so they are resent directly instead of waiting for a timeout.
+            // Polls are sent again directly instead of waiting for a timeout.
             for (auto& [number, open] : std::exchange(lane.open, {})) {
-                const bool repeatable = open.command.what() == pb::target_command::poll;
-                (repeatable ? unsent : lost).push_back(std::move(open));
+                const bool is_poll = open.command.what() == pb::target_command::poll;
+                (is_poll ? repeated : lost).push_back(std::move(open));
             }
             lane.session = ++m_last_session;
             lane.calls_out = 0;
@@ -274,9 +276,11 @@
         log_event(log_level::warning, "relay_failed",
                   {{"relay", relay},
                    {"lost", std::to_string(lost.size())},
-                   {"sent_straight", std::to_string(unsent.size())}});
+                   {"sent_straight", std::to_string(unsent.size() + repeated.size())}});
         for (const auto& each : unsent)
             each.send_direct();
+        for (const auto& each : repeated)
+            each.send_again();
         for (const auto& each : lost)
             each.done(nullptr);
     }
@@ -315,6 +319,7 @@
                      done(result != nullptr ? reply_from_wire(*result) : command_reply{});
                  },
                  [direct, command, timeout, done] { direct->send(command, timeout, done); },
+                 {},
                  {}});
 }
 
@@ -326,6 +331,14 @@
                      done(result != nullptr ? result_from_wire(*result) : poll_result{});
                  },
                  [direct, command, timeout, done] { direct->poll(command, timeout, done); },
+                 [direct, command, timeout, done] {
+                     // The target may have restarted since, and have taken a start: what was decided for the
+                     // incarnation before doesn't hold for that one.
+                     auto again = command;
+                     again.acked_upto = 0;
+                     again.deadline_ms = {};
+                     direct->poll(again, timeout, done);
+                 },
                  {}});
 }
 
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -133,11 +133,16 @@
     relayed_owner owner;
     target_poll_command command;
     command.target = "t1";
+    command.acked_upto = 4;
+    command.deadline_ms = 9000;
     std::vector<command_outcome> got;
     owner.targets.poll(command, 1000ms, [&](const poll_result& result) { got.push_back(result.outcome); });
     REQUIRE(owner.calls.size() == 1);
     owner.calls[0].done(peer_delivery::lost, {});
     REQUIRE(owner.direct.polls.size() == 1);
+    // The relay may have carried it out, and the target may have restarted since.
+    CHECK(owner.direct.polls[0].acked_upto == 0);
+    CHECK_FALSE(owner.direct.polls[0].deadline_ms);
     poll_result result;
     result.outcome = command_outcome::done;
     owner.direct.poll_answers[0](result);
