Keep acknowledgements from starving, and late answers from passing for new ones

Lists of the same incarnation, asked for after the start's outcome, settle it now. - A stop that the earlier incarnation confirmed, its answer coming after the new one's lists, counted for the new one. A clock that shows more than the listed one can show is an earlier one's. - The longest lease was recorded only with the next write, which nothing made due.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -288,7 +288,7 @@
     void start_answered(instant at, target_state& target, const start_stop_command& command,
                         const command_reply& reply);
     void stop_answered(instant at, target_state& target, const start_stop_command& command,
-                       command_outcome outcome);
+                       const command_reply& reply);
     void adopt_or_orphan(instant at, target_state& target, const reported_run& run);
     /// `first_lists`: the first of an incarnation that followed another one.
     void process_running(instant at, instant sent, target_state& target, const poll_result& result,
@@ -436,6 +436,7 @@
     std::set<std::string> m_unconfirmed_targets; ///< of the roster, not contacted since the takeover
     instant m_recovery_ends{};
     instant m_longest_granted_until{}; ///< until then runs may hold the longest lease that targets grant
+    bool m_longest_recorded = false;   ///< a write that names it was handed out
     bool m_recovering = false;
     instant m_next_gang_check{};
     std::map<std::string, resources> m_held; ///< by team
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -20,8 +20,7 @@
 std::string describe_restart(instant at, const target_state& target, std::int64_t born_ms) {
     return "born " + std::to_string(born_ms) + " after " + std::to_string(target.listed_born_ms) +
            ", lists of " + std::to_string((at - target.last_answer).count()) + " ms ago, " +
-           std::to_string(target.runs.size()) + " runs, " + (target.all_runs_located() ? "all" : "not all") +
-           " at the listed incarnation";
+           std::to_string(target.runs.size()) + " runs";
 }
 
 bool add_if_absent(std::vector<int>& numbers, int number) {
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -122,7 +122,7 @@
     if (m_rows_in_write)
         return false;
     if (!m_urgent.empty() || (m_roster_dirty && m_roster != m_roster_written) || !m_rows_to_delete.empty() ||
-        m_transfers_due)
+        m_transfers_due || (at < m_longest_granted_until && !m_longest_recorded))
         return true;
     return !m_dirty.empty() && at - m_dirty_since >= max_lazy_delay;
 }
@@ -165,6 +165,7 @@
     job_rows made;
     m_rows_in_write = true;
     m_rows_taken = at;
+    m_longest_recorded = at < m_longest_granted_until;
     m_writing.clear();
     if (!m_pending_acks) {
         m_pending_acks = pending_acks{m_last_write_number, {}};
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -120,7 +120,9 @@
                 drop_run(at, target, start.task, "stopped before its start was sent");
             continue;
         }
-        run.start_sent = true;
+        run.start_sent = run.start_in_flight = true;
+        run.start_sent_at = at;
+        run.incarnation = 0;
         start_stop_command command;
         command.target = start.target;
         command.address = target.entry.address;
@@ -175,7 +177,7 @@
     if (command.kind == command_kind::start)
         start_answered(at, found->second, command, reply);
     else
-        stop_answered(at, found->second, command, reply.outcome);
+        stop_answered(at, found->second, command, reply);
     schedule(at);
 }
 
@@ -194,6 +196,9 @@
     if (found == target.runs.end() || found->second.number != command.run)
         return;
     auto& run = found->second;
+    run.start_in_flight = false;
+    if (run.incarnation == 0)
+        run.unlocated_since = at;
     job_state* job = nullptr;
     auto* step = find_step(command.task, &job);
     // An earlier send of the same start may have been carried out.
@@ -243,7 +248,8 @@
 }
 
 void job_engine::stop_answered(instant at, target_state& target, const start_stop_command& command,
-                               command_outcome outcome) {
+                               const command_reply& reply) {
+    const auto outcome = reply.outcome;
     const auto text = command.task.to_string();
     const auto found = target.runs.find(text);
     if (found == target.runs.end() || found->second.number != command.run)
@@ -251,7 +257,8 @@
     auto& run = found->second;
     run.stop_in_flight = false;
     run.next_stop = at + stop_retry;
-    if (outcome == command_outcome::done || outcome == command_outcome::superseded) {
+    const bool is_late = reply.clock_ms && target.is_clock_of_earlier(at, *reply.clock_ms);
+    if (!is_late && (outcome == command_outcome::done || outcome == command_outcome::superseded)) {
         run.stop_confirmed = at;
         target.next_poll = at;
         return;
@@ -277,9 +284,12 @@
         command.address = target.entry.address;
         command.fence = target.fence(m_options.epoch);
         command.number = ++m_last_poll;
-        // A later incarnation numbers its ends from 1 again, and would forget those of runs that it took.
-        if (target.is_settled() && target.all_runs_located())
+        if (target.may_acknowledge(at)) {
             command.acked_upto = target.acked_upto;
+            target.acks_withheld_since = {};
+        } else if (target.acks_withheld_since == instant{}) {
+            target.acks_withheld_since = at;
+        }
         // Leases of an unresponsive target aren't renewed, otherwise their expiry would never be certain.
         if (!is_overdue && target.contacted && !target.suspect && target.is_settled()) {
             command.deadline_ms = target.target_clock_ms(at) + m_options.lease.count();
@@ -372,6 +382,11 @@
         listed[run.task] = &run;
     std::vector<std::pair<std::string, std::string_view>> gone;
     for (auto& [text, run] : target.runs) {
+        if (!first_lists && run.unlocated_since != instant{} && run.unlocated_since < sent) {
+            run.unlocated_since = {};
+            if (!run.start_in_flight && run.incarnation == 0)
+                run.incarnation = target.incarnation;
+        }
         const auto found = listed.find(text);
         if (found != listed.end() && found->second->run == run.number) {
             if (run.phase != run_phase::running) {
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -10,6 +10,9 @@
 /// How much slower than this node's clock a target's clock may run, as a fraction.
 constexpr double clock_drift = 0.02;
 constexpr milliseconds clock_margin{100};
+/// A start that was sent less than this ago is taken for one whose run hasn't ended.
+constexpr milliseconds shortest_run{200};
+constexpr milliseconds max_withheld_acks{1000};
 /// Low bits of a fence that hold the owner's epoch; the higher bits hold the number of transfers.
 constexpr int epoch_bits = 24;
 
@@ -46,7 +49,12 @@
 
 bool target_state::is_clock_of_listed(instant at, std::int64_t clock) const {
     // A later incarnation started after these lists were made, with its clock at 0.
-    return incarnation != 0 && clock > (at - clock_asked + clock_margin).count();
+    return incarnation != 0 && clock > (at - clock_asked + clock_margin).count() &&
+           !is_clock_of_earlier(at, clock);
+}
+
+bool target_state::is_clock_of_earlier(instant at, std::int64_t clock) const {
+    return incarnation != 0 && clock > clock_ms + (at - clock_asked + clock_margin).count();
 }
 
 bool target_state::is_of_later_incarnation(instant sent, const poll_result& result) const {
@@ -55,9 +63,14 @@
     return result.born_ms > listed_born_ms || sent >= clock_read;
 }
 
-bool target_state::all_runs_located() const {
-    return std::ranges::all_of(
-        runs, [](const auto& each) { return !each.second.start_sent || each.second.incarnation != 0; });
+bool target_state::may_acknowledge(instant at) const {
+    const bool overdue = acks_withheld_since != instant{} && at - acks_withheld_since >= max_withheld_acks;
+    return is_settled() && std::ranges::none_of(runs, [&](const auto& each) {
+               const auto& run = each.second;
+               const bool may_have_ended = run.start_in_flight && at - run.start_sent_at > shortest_run;
+               return run.incarnation == 0 &&
+                      (run.unlocated_since != instant{} || (may_have_ended && !overdue));
+           });
 }
 
 instant target_state::lease_expiry() const {
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -38,6 +38,11 @@
     /// The incarnation of its target that surely took its start; 0 while that may be a later one than is
     /// known.
     std::uint64_t incarnation = 0;
+    bool start_in_flight = false;
+    instant start_sent_at{}; ///< the last one
+    /// When a start was answered, or lost, without telling which incarnation took it; unset once later lists
+    /// show that a later incarnation didn't.
+    instant unlocated_since{};
     int unanswered_starts = 0; ///< start commands without a response; each may still be carried out
     instant placed_at{};
     instant confirmed_at{}; ///< when the target confirmed that it runs
@@ -91,6 +96,7 @@
     instant last_grant{};           ///< when a command with a deadline was last sent
     std::int64_t granted_ms = 0;    ///< the latest deadline sent, on the target's clock
     std::int64_t acked_upto = 0;    ///< ends up to this number may be forgotten by the target
+    instant acks_withheld_since{};  ///< unset if the last poll carried them
     std::int64_t seen_upto = 0;     ///< ends up to this number were processed
     instant first_contact{};        ///< when it first answered this owner
     bool was_idle = false;          ///< at the last poll it reported no runs and no ends
@@ -113,11 +119,13 @@
     [[nodiscard]] std::int64_t target_clock_ms(instant at) const;
     /// Whether a response that tells this clock is surely one of the incarnation whose lists were read last.
     [[nodiscard]] bool is_clock_of_listed(instant at, std::int64_t clock) const;
+    /// Whether a response that tells this clock is one of an earlier incarnation that comes late.
+    [[nodiscard]] bool is_clock_of_earlier(instant at, std::int64_t clock) const;
     /// Whether an answer is of a later incarnation than the one whose lists were read last.
     [[nodiscard]] bool is_of_later_incarnation(instant sent, const poll_result& result) const;
-    /// Whether every run that was sent is surely at the incarnation whose lists were read last, or was at an
-    /// earlier one.
-    [[nodiscard]] bool all_runs_located() const;
+    /// Whether a later incarnation surely has no ends that nobody read: it would forget them, since it
+    /// numbers its ends from 1 again. Starts that are on their way hold this up only for a while.
+    [[nodiscard]] bool may_acknowledge(instant at) const;
     /// Whether no restart that its entry told of is still to be settled by its own lists.
     [[nodiscard]] bool is_settled() const { return latest_answered >= settled_by; }
     /// When, by this node's clock, all runs under the latest lease have certainly ended that surely are at
--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -106,6 +106,63 @@
     CHECK(world.owner().longest_granted(world.at()) == 4500ms);
 }
 
+// Guards against ends that stay unacknowledged for ever: lists stay partial without acknowledgements, and a
+// start without an answer stayed unsettled without complete lists.
+TEST_CASE("a start without an answer doesn't keep ends unacknowledged that a target can't list at once",
+          "[engine][restarts]") {
+    job_world world{{.targets = 1, .work = 300ms, .faults = false}, 21};
+    world.target("t0").set_max_listed_ends(2);
+    world.submit(simple_job("a", {simple_step(3, 1000)}));
+    world.run_for(100ms);
+    REQUIRE(world.starts().size() == 3);
+    world.submit(simple_job("b", {simple_step(1, 1000)}));
+    world.run_for(40ms);
+    world.submit(simple_job("c", {simple_step(1, 1000)}));
+    world.run_for(20ms);
+    world.hold_writes(true);
+    world.delay_commands(60s);
+    world.run_for(2500ms);
+    world.delay_commands(0ms);
+    world.hold_writes(false);
+    world.run_for(20s);
+    CHECK(world.open().empty());
+    CHECK(world.violation().empty());
+}
+
+// Guards against acknowledgements that never go out because some start is always on its way.
+TEST_CASE("steady work doesn't hold acknowledgements up", "[engine][restarts][load]") {
+    struct row {
+        milliseconds delay;
+        milliseconds each;
+        milliseconds longest;
+    };
+    const auto given = GENERATE(row{5ms, 5ms, 200ms}, row{40ms, 20ms, 300ms}, row{40ms, 40ms, 300ms},
+                                row{200ms, 40ms, 2000ms});
+    INFO("a job each " << given.each.count() << " ms, messages take " << given.delay.count() << " ms");
+    job_world world{{.targets = 1,
+                     .cpu_milli = 64'000,
+                     .work = 200ms,
+                     .faults = false,
+                     .tick = 5ms,
+                     .delay = given.delay},
+                    31};
+    world.run_for(10s);
+    milliseconds longest{0};
+    milliseconds since{0};
+    std::size_t last = 0;
+    for (milliseconds passed{0}; passed < 10s; passed += 5ms) {
+        if (passed.count() % given.each.count() == 0)
+            world.submit(simple_job("j" + std::to_string(passed.count()), {simple_step(1, 1000)}));
+        world.run_for(5ms);
+        const auto acked = world.target("t0").acknowledged().size();
+        const bool waits = world.starts().size() > world.target("t0").running().size() + acked;
+        since = waits && acked == last ? since + 5ms : 0ms;
+        last = acked;
+        longest = std::max(longest, since);
+    }
+    CHECK(longest <= given.longest);
+}
+
 TEST_CASE("promises hold over random orders of faults with targets that restart under their ids",
           "[engine][restarts][faults]") {
     constexpr int worlds = 300;
@@ -113,6 +170,10 @@
     for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
         INFO("seed " << seed);
         job_world world{{.restarts = true}, seed};
+        if (seed % 2 == 0) {
+            for (const auto* id : {"t0", "t1", "t2"})
+                world.target(id).set_max_listed_ends(2);
+        }
         for (int i = 0; i < faults && world.violation().empty(); ++i)
             world.fault();
         world.stop_faults(60s);
@@ -168,6 +229,101 @@
     CHECK(polls.front().acked_upto == given.acked_upto);
 }
 
+namespace {
+
+/// An engine with one target whose answers a test makes.
+struct answered_by_hand {
+    answered_by_hand() {
+        auto config = std::make_shared<cell_config>();
+        config->queues["checks"].service = "orders";
+        engine.set_config(config);
+        engine.restore({}, {});
+        engine.set_targets(start, {standin::job_target{"t0", {4000, 64'000, 0}, start}.entry()});
+        answer_polls(start, 0s, 100s);
+        write(start);
+    }
+    void write(instant at) {
+        engine.tick(at);
+        while (engine.write_due(at)) {
+            (void)engine.take_rows(at);
+            engine.rows_written(at);
+        }
+    }
+    /// Answers all polls with empty lists of an incarnation that started `born` after the first.
+    void answer_polls(instant at, milliseconds born, milliseconds clock) {
+        for (const auto& poll : engine.take_polls(at)) {
+            poll_result lists;
+            lists.outcome = command_outcome::done;
+            lists.born_ms = to_ms(start + born);
+            lists.clock_ms = clock.count();
+            lists.complete = true;
+            engine.handle_poll_result(at, at, poll, lists);
+        }
+    }
+
+    const instant start{std::chrono::hours{1000}};
+    job_engine engine{{}};
+};
+
+} // namespace
+
+// Guards against a late answer of the earlier incarnation that is taken for one of the new one.
+TEST_CASE("a stop that the earlier incarnation confirmed says nothing about the new one",
+          "[engine][restarts]") {
+    answered_by_hand world;
+    auto& engine = world.engine;
+    auto at = world.start + 40ms;
+    (void)engine.accept(at, simple_job("j", {simple_step(1, 1000)}));
+    std::optional<start_stop_command> stop;
+    for (; at < world.start + 2s && !stop; at += 20ms) {
+        world.write(at);
+        for (const auto& command : engine.take_commands(at)) {
+            if (command.kind == command_kind::stop)
+                stop = command;
+            else
+                engine.handle_command_result(at, command, {});
+        }
+    }
+    REQUIRE(stop);
+    at += 5s;
+    world.answer_polls(at, 3s, 3s);
+    engine.handle_command_result(at + 10ms, *stop, {command_outcome::done, 102'000});
+    std::vector<command_kind> commands;
+    for (auto then = at + 20ms; then < at + 1s; then += 20ms) {
+        world.answer_polls(then, 3s, 3s + (then - at));
+        world.write(then);
+        for (const auto& command : engine.take_commands(then)) {
+            commands.push_back(command.kind);
+            engine.handle_command_result(then, command, {command_outcome::done, 3000 + (then - at).count()});
+        }
+    }
+    REQUIRE_FALSE(commands.empty());
+    CHECK(commands.front() == command_kind::stop);
+}
+
+// Guards against a successor that isn't told since nothing else is to be written.
+TEST_CASE("a restart makes the owner write the longest lease", "[engine][restarts]") {
+    answered_by_hand world;
+    const auto at = world.start + 4500ms;
+    REQUIRE_FALSE(world.engine.write_due(at));
+    world.answer_polls(at, 4s, 400ms);
+    CHECK(world.engine.write_due(at));
+    world.write(at);
+    CHECK_FALSE(world.engine.write_due(at + 20ms));
+}
+
+// A known failure: after a restart, tasks are placed by the capacity and labels of the earlier incarnation
+// until the new entry comes.
+TEST_CASE("nothing is placed by the capacity of an earlier incarnation", "[engine][restarts][!shouldfail]") {
+    answered_by_hand world;
+    const auto at = world.start + 4500ms;
+    world.answer_polls(at, 4s, 400ms);
+    (void)world.engine.accept(at, simple_job("j", {simple_step(4, 1000)}));
+    world.write(at);
+    world.engine.tick(at + 20ms);
+    CHECK(world.engine.take_commands(at + 20ms).empty());
+}
+
 // Guards against lists that are taken for those of an earlier incarnation, for good, because an entry or a
 // clock that was set back gave a wrong start.
 TEST_CASE("a target's own lists count, whatever start its entry or its clock tells", "[engine][restarts]") {
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -10,11 +10,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr milliseconds simulation_tick{20};
 constexpr milliseconds poll_timeout{1300};
 constexpr milliseconds start_timeout{500};
 constexpr milliseconds stop_timeout{500};
-constexpr milliseconds usual_delay{5};
 constexpr milliseconds max_unknown_run_time{7500};
 
 } // namespace
@@ -168,7 +166,7 @@
 
 milliseconds job_world::delay() {
     constexpr int spread_ms = 60;
-    return m_faulty ? milliseconds{1 + static_cast<int>(m_random() % spread_ms)} : usual_delay;
+    return m_faulty ? milliseconds{1 + static_cast<int>(m_random() % spread_ms)} : m_options.delay;
 }
 
 void job_world::violate(const std::string& what) {
@@ -353,7 +351,7 @@
 }
 
 void job_world::step() {
-    m_at += simulation_tick;
+    m_at += m_options.tick;
     for (auto& [id, target] : m_fleet->targets) {
         target.advance(m_at, [&](const std::string& task, int) {
             if (m_failing.erase(task) > 0)
@@ -392,7 +390,7 @@
 }
 
 void job_world::run_for(milliseconds time) {
-    for (auto passed = 0ms; passed < time; passed += simulation_tick)
+    for (auto passed = 0ms; passed < time; passed += m_options.tick)
         step();
 }
 
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -37,6 +37,8 @@
         bool share_rates = false;
         int good_one_in = 0; ///< one in this many targets is good for a step; 0: the advice service fails
         int partition = 0;
+        milliseconds tick{20};
+        milliseconds delay{5}; ///< of a message without faults
         bool restarts = false; ///< targets restart under their ids, and their entries tell of it late
     };
 
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -1,5 +1,5 @@
-#include "cell/lease.h"
 #include "cell/clocks.h"
+#include "cell/lease.h"
 #include "cell/owned_partition.h"
 #include "cell/partition_rows.h"
 
