Let a refused start of the older engine count as lost if the library sent it twice

Callers saw "not run" for a direct request, or a task that isn't idempotent was started again, though the first send of its start had been carried out.

Cause: targets of partitions refuse with status 200 and Medlar-Outcome (docs/platform.md), so that judge_resends took a refusal of the second send for an answer to both; covered only refusals by status. A target that restarts between the two sends answers the second one so.

Evidence: http_client_test "a start that the library sent twice counts as lost if a target of partitions refuses the last send": refused, fenced and never were red (refused instead of lost), running and done were green.

The number of sends is handed on with the result, and http_targets, which reads the outcome, takes a refusal of a repeated start for no answer; the start is then settled, which tells incarnations apart. Settle calls stay as they were.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -71,6 +71,7 @@
 void judge_resends(int sends, const std::string& method, const std::string& url, http_result& result) {
     if (sends <= 1)
         return;
+    result.sends = sends;
     if (method != "GET" && !result.ok()) {
         result.delivery = http_delivery::unknown;
         result.reason += (result.reason.empty() ? "" : "; ") + std::string{"sent more than once"};
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -30,6 +30,7 @@
     std::string body;
     std::map<std::string, std::string> headers; ///< names in lower case
     std::string reason;
+    int sends = 1; ///< how often the library sent the request; only the last send has a response
 
     [[nodiscard]] bool ok() const { return delivery == http_delivery::answered && status / 100 == 2; }
 };
--- a/src/targets/http_targets.cpp
+++ b/src/targets/http_targets.cpp
@@ -58,6 +58,16 @@
     return answer;
 }
 
+/// Targets refuse with status 200, so only here is a refusal known. It says nothing about the earlier sends
+/// of a start that the library repeated.
+start_answer read_start_answer(const std::string& task_id, http_result result) {
+    const bool repeated = result.sends > 1;
+    auto answer = read_answer(task_id, std::move(result));
+    if (repeated && answer.outcome == start_outcome::refused)
+        answer.outcome = start_outcome::lost;
+    return answer;
+}
+
 run_state state_of(const std::string& text) {
     if (text == "done")
         return run_state::done;
@@ -117,7 +127,7 @@
                        .body = command.body,
                        .timeout = command.timeout},
                       [id = command.task_id, done = std::move(done)](http_result result) {
-                          done(read_answer(id, std::move(result)));
+                          done(read_start_answer(id, std::move(result)));
                       });
     }
 
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
+#include "http/server.h"
 #include "platform/workers.h"
+#include "targets/http_targets.h"
 
 #include <catch2/catch.hpp>
 
@@ -171,3 +173,35 @@
     });
     CHECK(reply.outcome == command_outcome::lost);
 }
+
+// Guards against "not run" for work that the first send started: these targets refuse with status 200.
+TEST_CASE(
+    "a start that the library sent twice counts as lost if a target of partitions refuses the last send",
+    "[http][late]") {
+    struct row {
+        const char* outcome;
+        start_outcome expected;
+    };
+    const auto given = GENERATE(row{"refused", start_outcome::lost}, row{"fenced", start_outcome::lost},
+                                row{"never", start_outcome::lost}, row{"running", start_outcome::running},
+                                row{"done", start_outcome::done});
+    INFO(given.outcome);
+    start_command command;
+    command.task_id = "orchard/r1#0#1";
+    command.body = "{}";
+    command.timeout = 2000ms;
+    closing_server server{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nMedlar-Boot: boot1\r\nMedlar-Task: " +
+                          url_encode(command.task_id) + "\r\nMedlar-Outcome: " + given.outcome +
+                          "\r\n\r\n{}"};
+    http_client client;
+    const auto targets = make_http_targets(client, 2000ms);
+    vm_info target;
+    target.address = server.address();
+    start_answer answer;
+    repeat_until_closed(server, [&] {
+        std::promise<start_answer> answered;
+        targets->start(target, {}, command, [&](start_answer got) { answered.set_value(std::move(got)); });
+        answer = answered.get_future().get();
+    });
+    CHECK(answer.outcome == given.expected);
+}
