Take no refusal by a restarted target for that of the incarnation that had the task

Callers saw a task that isn't idempotent run twice.

Cause: a start without an answer is asked after (settle). If the target's list confirmed the task meanwhile and the target then restarted, the new incarnation answers "never"; start_answered looked at the answer's boot only while the outcome was unknown, and so counted the confirmed task as one that never ran.

A task that has been seen to run can't be refused. Its target's next inventory, which names the boot, or the expiry of its lease says what became of it.

--- a/src/partition.cpp
+++ b/src/partition.cpp
@@ -715,6 +715,8 @@
         break;
     case start_outcome::refused:
         m_pool.failed(at, target);
+        if (state->phase == start_phase::confirmed)
+            break; // it has run; the target's inventory tells what became of it
         // A target that has restarted since can't tell whether the task ran before the restart.
         if (state->phase == start_phase::unknown_outcome &&
             answer.incarnation != job->item.tasks(task.index).boot())
--- a/test/partition_fault_test.cpp
+++ b/test/partition_fault_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+using namespace medlarhub;
+using namespace std::chrono_literals;
 using medlarhub::testing::fault_world;
 
 namespace {
@@ -98,3 +100,77 @@
     CHECK(count_failures({.incarnation_check = false}, worlds) > 0);
     CHECK(count_failures({.settle_lost_starts = false}, worlds) > 0);
 }
+
+// Guards against work that runs again, though it isn't idempotent, because the target's new incarnation is
+// asked about a start that the earlier one had carried out.
+TEST_CASE("a new incarnation's answer about a start isn't taken for the one that had it",
+          "[partition][late]") {
+    struct row {
+        const char* name;
+        bool listed;
+    };
+    const auto given = GENERATE(row{"its target had listed it", true}, row{"nothing was heard of it", false});
+    INFO(given.name);
+    vm_info info;
+    info.id = "t0";
+    info.capacity = {4000, 4096, 0};
+    info.slots = 2;
+    standin::target_model target{info, "boot0"};
+    partition core{{}};
+    instant at{1'000'000ms};
+    const target_authority authority{0, 1};
+    core.set_epoch(1, at);
+    core.set_fleet({info}, {});
+    const auto poll = [&] {
+        const auto asked = core.begin_poll(at, "t0", true);
+        auto seen = *target.poll(at, authority, true, core.acknowledgements("t0"));
+        seen.asked = asked;
+        core.inventory(at, seen);
+    };
+    const auto effects = [&] {
+        core.tick(at);
+        (void)core.take_records(100'000);
+        core.committed();
+        return core.take_effects(at);
+    };
+    const auto start = [&](const effect& action) {
+        start_command command;
+        command.task_id = action.task.to_string();
+        command.need = {1000, 512, 0};
+        command.lease = 6s;
+        command.incarnation = core.find(action.task.job_id)->tasks(0).boot();
+        return target.start(at, authority, command, 5s, false);
+    };
+    poll();
+    service_document doc;
+    doc.name = "work";
+    doc.team = "orchard";
+    doc.need = {1000, 512, 0};
+    doc.lease = 6s;
+    doc.kind = work_kind::request;
+    REQUIRE(core.submit(at, make_job(doc, doc.team, "r1", 1)) == submit_outcome::accepted);
+    const auto started = effects();
+    REQUIRE(started.size() == 1);
+    const auto task = started.front().task;
+    REQUIRE(start(started.front()).outcome == "running");
+    core.start_answered(at, task, {});
+    at += 1s;
+    const auto settle = effects();
+    REQUIRE(settle.size() == 1);
+    REQUIRE(settle.front().kind == effect_kind::settle);
+    if (given.listed)
+        poll();
+    target.restart("boot1");
+    REQUIRE(target.settle(at, authority, task.to_string()).outcome == "never");
+    core.start_answered(at, task, {start_outcome::refused, {}, "never", target.version(), "boot1"});
+    poll();
+    for (const auto& action : effects()) {
+        if (action.kind == effect_kind::start)
+            (void)start(action);
+    }
+    int executions = 0;
+    for (const auto& [id, times] : target.executions())
+        executions += times;
+    CHECK(executions == 1);
+    CHECK(core.find(task.job_id)->tasks(0).state() == pb::task::unknown);
+}
