Forget advice on a target that has restarted

Callers saw a job that waits for ever on a queue with advice though a target that may run it is free.

Cause: whether a target is good for a step holds for one life of it, but step_advice keeps it by the target's id. A target that wasn't good, restarted under its id and may be of another kind since, was never asked about again; tickets of its earlier life were sent once more and refused.

Evidence: engine_restarts_test "advice on a target is requested again once it has restarted": both rows had one request instead of two before.

When a target's own lists tell of its restart, open jobs forget what they know of it. An answer to a request that was open then may be about the earlier life, and is passed over for this target.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -299,6 +299,7 @@
     void note_longest_lease(instant at);
     /// The target's lists are those of a new incarnation.
     void handle_restart(instant at, target_state& target, const poll_result& result);
+    void forget_advice(const std::string& target);
     void check_lease_expiry(instant at);
     void finish_recovery(instant at);
 
--- a/src/jobs/engine_advice.cpp
+++ b/src/jobs/engine_advice.cpp
@@ -182,6 +182,15 @@
     schedule(at);
 }
 
+void job_engine::forget_advice(const std::string& target) {
+    for (const auto& id : m_open) {
+        for (auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+            for (auto& step : occurrence.steps)
+                step.advice.forget(target);
+        }
+    }
+}
+
 void job_engine::set_advice_relays(std::vector<std::string> nodes) {
     m_advice_relays.set_nodes(std::move(nodes));
 }
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -230,6 +230,7 @@
     target.granted_ms = result.clock_ms + m_options.longest_lease.count();
     target.failures_in_row = 0;
     target.listed_all = false;
+    forget_advice(target.entry.id);
 }
 
 void job_engine::check_lease_expiry(instant at) {
--- a/src/jobs/step_advice.cpp
+++ b/src/jobs/step_advice.cpp
@@ -1,6 +1,7 @@
 #include "jobs/step_advice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarhub {
 
@@ -42,13 +43,20 @@
 void step_advice::handle_answer(instant at, const std::vector<std::string>& targets,
                                 const std::vector<advice_ticket>& good, milliseconds valid) {
     m_asked = false;
-    m_known.insert(targets.begin(), targets.end());
-    for (const auto& each : good)
-        m_tickets[each.target] = {each.text, at + valid};
+    const auto restarted = std::exchange(m_restarted, {});
+    for (const auto& target : targets) {
+        if (!restarted.contains(target))
+            m_known.insert(target);
+    }
+    for (const auto& each : good) {
+        if (!restarted.contains(each.target))
+            m_tickets[each.target] = {each.text, at + valid};
+    }
 }
 
 void step_advice::failed(instant at) {
     m_asked = false;
+    m_restarted.clear();
     m_next = at + retry_after_failure;
 }
 
@@ -58,4 +66,11 @@
         found->second.valid_until = {};
 }
 
+void step_advice::forget(const std::string& target) {
+    m_known.erase(target);
+    m_tickets.erase(target);
+    if (m_asked)
+        m_restarted.insert(target);
+}
+
 } // namespace medlarhub
--- a/src/jobs/step_advice.h
+++ b/src/jobs/step_advice.h
@@ -53,6 +53,8 @@
     void failed(instant at);
     /// Invalidates the ticket that the target refused.
     void refused(const std::string& target);
+    /// Forgets what was learned about an earlier incarnation of the target, also by an answer yet to come.
+    void forget(const std::string& target);
 
 private:
     struct entry {
@@ -62,6 +64,7 @@
     bool m_asked = false;
     instant m_next{};
     std::set<std::string> m_known;
+    std::set<std::string> m_restarted; ///< since the open request was sent
     std::map<std::string, entry> m_tickets;
 };
 
--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -179,3 +179,57 @@
     run_until(start + 3s, start + 4s, given.next_born_ms, 2);
     CHECK(starts == 2);
 }
+
+// Guards against work that waits for ever beside a target that may run it: whether a target is good for a
+// step holds for one incarnation.
+TEST_CASE("advice on a target is requested again once it has restarted", "[engine][restarts][advice]") {
+    struct row {
+        const char* name;
+        bool answered_before;
+    };
+    const auto given = GENERATE(row{"it was refused before", true}, row{"it is refused meanwhile", false});
+    INFO(given.name);
+    const instant start{std::chrono::hours{1000}};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    config->queues["checks"].advice =
+        advice_policy{std::chrono::milliseconds{50}, std::chrono::milliseconds{1}, 2000ms};
+    job_engine engine{{}};
+    engine.set_config(config);
+    engine.set_advice_relays({"n0"});
+    engine.restore({}, {});
+    engine.set_targets(start, {standin::job_target{"t0", {4000, 64'000, 0}, start}.entry()});
+    std::vector<advice_request> requests;
+    const auto run_until = [&](instant at, instant end, instant born) {
+        for (; at < end; at += 20ms) {
+            for (const auto& poll : engine.take_polls(at)) {
+                poll_result lists;
+                lists.outcome = command_outcome::done;
+                lists.born_ms = to_ms(born);
+                lists.clock_ms = (at - born).count() + 1;
+                lists.complete = true;
+                engine.handle_poll_result(at, at, poll, lists);
+            }
+            engine.tick(at);
+            while (engine.write_due(at)) {
+                (void)engine.take_rows(at);
+                engine.rows_written(at);
+            }
+            for (auto& request : engine.take_advice_requests())
+                requests.push_back(std::move(request));
+        }
+    };
+    run_until(start, start + 1s, start);
+    (void)engine.accept(start + 1s, simple_job("j", {simple_step(1, 1000)}));
+    run_until(start + 1s, start + 2s, start);
+    REQUIRE(requests.size() == 1);
+    if (given.answered_before)
+        engine.handle_advice(start + 2s, requests.front(), {}, 2000ms);
+    run_until(start + 2s, start + 12s, start + 3s);
+    if (!given.answered_before)
+        engine.handle_advice(start + 12s, requests.front(), {}, 2000ms);
+    run_until(start + 12s, start + 14s, start + 3s);
+    REQUIRE(requests.size() == 2);
+    engine.handle_advice(start + 14s, requests.back(), {{"t0", "ticket"}}, 2000ms);
+    CHECK(engine.take_commands(start + 14s).size() == 1);
+}
