Count a task's lease from the sending of its start at the earliest

Callers saw a task that had just been started given up as "no contact with the target until the lease lapsed" and placed elsewhere while it ran.

Cause: check_leases counts from the target's last contact or renewal, also for a task that was started later. After one lost poll (2 s) a target is still used, and with a lease of 2 s the task was given up 0.2 s after its start was answered.

Evidence: partition_fault_test "a task whose start was answered a moment ago isn't given up": attempt 1 instead of 0 before.

The lease of a task can't have begun before its start was sent, so it can't have lapsed a lease after an earlier contact.

--- a/src/partition.cpp
+++ b/src/partition.cpp
@@ -134,6 +134,7 @@
                 continue;
             }
             state->phase = start_phase::sent;
+            state->since = at;
         }
         ready.push_back(std::move(action));
     }
@@ -774,7 +775,9 @@
             auto* state = find_task(task, &job);
             if (state == nullptr || state->phase == start_phase::unsent)
                 continue;
-            if (at >= last_renewal + milliseconds{job->item.lease_ms()} + m_options.lease_expiry_margin) {
+            // Its lease began when its start was sent, at the earliest.
+            const auto lease_from = std::max(last_renewal, state->since);
+            if (at >= lease_from + milliseconds{job->item.lease_ms()} + m_options.lease_expiry_margin) {
                 handle_interrupted(at, task, "no contact with the target until the lease lapsed");
                 continue;
             }
--- a/test/partition_fault_test.cpp
+++ b/test/partition_fault_test.cpp
@@ -174,3 +174,39 @@
     CHECK(executions == 1);
     CHECK(core.find(task.job_id)->tasks(0).state() == pb::task::unknown);
 }
+
+// Guards against a lease that counts from the last contact before the task was started.
+TEST_CASE("a task whose start was answered a moment ago isn't given up", "[partition][late]") {
+    vm_info info;
+    info.id = "t0";
+    info.capacity = {4000, 4096, 0};
+    info.slots = 2;
+    standin::target_model target{info, "boot0"};
+    partition core{{}};
+    instant at{1'000'000ms};
+    core.set_epoch(1, at - 60s);
+    core.set_fleet({info}, {});
+    const auto asked = core.begin_poll(at, "t0", true);
+    auto seen = *target.poll(at, {0, 1}, true, {});
+    seen.asked = asked;
+    core.inventory(at, seen);
+    at += 3900ms; // one poll of 2 s was lost since
+    service_document doc;
+    doc.name = "work";
+    doc.team = "orchard";
+    doc.need = {1000, 512, 0};
+    doc.lease = 2s;
+    doc.kind = work_kind::batch;
+    doc.idempotent = true;
+    REQUIRE(core.submit(at, make_job(doc, doc.team, "r1", 1)) == submit_outcome::accepted);
+    (void)core.take_records(100'000);
+    core.committed();
+    const auto started = core.take_effects(at);
+    REQUIRE(started.size() == 1);
+    core.start_answered(at, started.front().task, {start_outcome::running, {}, {}, 2, "boot0"});
+    at += 200ms;
+    core.tick(at);
+    const auto& task = core.find(started.front().task.job_id)->tasks(0);
+    CHECK(task.attempt() == started.front().task.attempt);
+    CHECK(task.state() == pb::task::running);
+}
