--- a/src/partition.cpp
+++ b/src/partition.cpp
@@ -134,6 +134,7 @@
                 continue;
             }
             state->phase = start_phase::sent;
+            state->since = at;
         }
         ready.push_back(std::move(action));
     }
@@ -715,6 +716,8 @@
         break;
     case start_outcome::refused:
         m_pool.failed(at, target);
+        if (state->phase == start_phase::confirmed)
+            break; // it has run; the target's inventory tells what became of it
         // A target that has restarted since can't tell whether the task ran before the restart.
         if (state->phase == start_phase::unknown_outcome &&
             answer.incarnation != job->item.tasks(task.index).boot())
@@ -772,7 +775,9 @@
             auto* state = find_task(task, &job);
             if (state == nullptr || state->phase == start_phase::unsent)
                 continue;
-            if (at >= last_renewal + milliseconds{job->item.lease_ms()} + m_options.lease_expiry_margin) {
+            // Its lease began when its start was sent, at the earliest.
+            const auto lease_from = std::max(last_renewal, state->since);
+            if (at >= lease_from + milliseconds{job->item.lease_ms()} + m_options.lease_expiry_margin) {
                 handle_interrupted(at, task, "no contact with the target until the lease lapsed");
                 continue;
             }
