--- a/test/cell_view_test.cpp
+++ b/test/cell_view_test.cpp
@@ -1,5 +1,7 @@
 #include "cell/cell_view.h"
 
+#include "medlarhub/membership.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -219,3 +221,19 @@
     const auto next = successor({"large"});
     CHECK((!next || next->member.id() != "large"));
 }
+
+// A known failure: refuted suspicions add up to what counts as a restart.
+TEST_CASE("an owner that refuted many suspicions keeps its partition", "[view][!shouldfail]") {
+    viewer with;
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 3});
+    membership other{node("other"), {}, 1};
+    constexpr int suspicions = 250;
+    for (int i = 0; i < suspicions; ++i) {
+        auto wrong = other.self();
+        wrong.set_state(pb::member::suspect);
+        other.merge(with.at, wrong);
+    }
+    with.view.learn_node(with.at, other.self());
+    with.pass(300ms);
+    CHECK(with.view.partitions_to_take(with.at, {}, true).empty());
+}
