Test that an owner logs a restart's source and by what each lost run had counted

This one guards target_restart_reported, target_restarted and the evidence at the end of run_dropped, for a run that was listed and one whose start was only answered. Tried without the evidence: both rows fail. request_resent has no test.

--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -435,3 +435,50 @@
     engine.handle_advice(start + 14s, requests.back(), {{"t0", "ticket"}}, 2000ms);
     CHECK(engine.take_commands(start + 14s).size() == 1);
 }
+
+// Guards against a log that doesn't tell on what evidence a run was given up, or who told of a restart.
+TEST_CASE("an owner logs a restart's source and by what each lost run had counted",
+          "[engine][restarts][log]") {
+    struct row {
+        const char* name;
+        bool listed;
+        const char* evidence;
+    };
+    const auto given =
+        GENERATE(row{"listed", true, "listed 20 ms ago"},
+                 row{"answered only", false, "its start was answered 40 ms ago, it wasn't listed"});
+    INFO(given.name);
+    answered_by_hand world;
+    auto& engine = world.engine;
+    const auto at = world.start + 1s;
+    (void)engine.accept(at, simple_job("j", {simple_step(1, 1000)}));
+    world.write(at);
+    const auto commands = engine.take_commands(at);
+    REQUIRE(commands.size() == 1);
+    engine.handle_command_result(at, commands.front(), {command_outcome::done, 101'000});
+    if (given.listed) {
+        for (const auto& poll : engine.take_polls(at + 20ms)) {
+            poll_result lists;
+            lists.outcome = command_outcome::done;
+            lists.born_ms = to_ms(world.start);
+            lists.clock_ms = 101'020;
+            lists.complete = true;
+            lists.running = {{"j.0.0.0", 1, {}, 1.0}};
+            engine.handle_poll_result(at + 20ms, at + 20ms, poll, lists);
+        }
+    }
+    auto entry = standin::job_target{"t0", {4000, 64'000, 0}, world.start + 2s}.entry();
+    engine.set_targets(at + 40ms, {entry});
+    world.answer_polls(at + 40ms, 2s, 10ms);
+    std::string reported;
+    std::string restarted;
+    std::string dropped;
+    for (const auto& event : engine.take_events()) {
+        reported = event.what == "target_restart_reported" ? event.detail : reported;
+        restarted = event.what == "target_restarted" ? event.detail : restarted;
+        dropped = event.what == "run_dropped" ? event.detail : dropped;
+    }
+    CHECK(reported.find("born") != std::string::npos);
+    CHECK(restarted.find(std::to_string(to_ms(world.start + 2s))) != std::string::npos);
+    CHECK(dropped == std::string{"t0 j.0.0.0 run 1: its target restarted; "} + given.evidence);
+}
