--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -85,12 +85,20 @@
     def __init__(self, handler):
         self.handler = handler
         self.server = None
+        self.open = set()
+
+    def stop(self):
+        """Closes the listener and resets all connections."""
+        self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
 
     async def start(self, host, port=0):
         self.server = await asyncio.start_server(self.serve, host, port, backlog=512)
         return f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
     async def serve(self, reader, writer):
+        self.open.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -105,6 +113,7 @@
         except (OSError, asyncio.IncompleteReadError, ConnectionError, ValueError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
 
@@ -135,7 +144,10 @@
 
 class Store:
     """The platform's store in the form `table`. Each node has a gate of its own, an address with a state: `up`,
-    `busy` (503, nothing is done) or `silent` (no answer, nothing is done)."""
+    `busy` (503, nothing is done), `silent` (no answer, nothing is done) or `losing`: of each node's writes, the first
+    of every three is done `late_s` later and not answered."""
+
+    late_s = 2.0
 
     def __init__(self, record):
         self.record = record
@@ -144,6 +156,7 @@
         self.version = 0
         self.changed = asyncio.Event()
         self.gates = {}
+        self.writes = {}  # by node, while its answers are being lost
         self.refused_rows = 0
 
     async def open_gate(self, node, host):
@@ -152,12 +165,22 @@
                 return 503, {}
             if self.gates[node] == "silent":
                 await asyncio.sleep(3600)
+            if self.gates[node] == "losing" and request.method == "POST":
+                self.writes[node] = self.writes.get(node, 0) + 1
+                if self.writes[node] % 3 == 1:
+                    asyncio.get_running_loop().call_later(self.late_s, self.do_late, node, request)
+                    await asyncio.sleep(3600)
             await asyncio.sleep(PLATFORM["tx_ms"] / 1000)
             return await self.handle(request)
 
         self.gates[node] = "up"
         return await HttpServer(handle).start(host)
 
+    def do_late(self, node, request):
+        status, _ = self.transact(request)
+        keys = [f"{row['part']}/{row['table']}/{row['key']}" for row in json.loads(request.body)["puts"]]
+        self.record.add(f"store: a write of {node} ({' '.join(keys[:3])}) is done late, unanswered: {status}")
+
     def set_gates(self, state, nodes=None):
         for node in nodes if nodes is not None else list(self.gates):
             self.gates[node] = state
@@ -275,6 +298,13 @@
 
     def __init__(self, fleet, name, zone, rack, cpu):
         self.fleet, self.name, self.zone, self.rack, self.cpu = fleet, name, zone, rack, cpu
+        self.address = None
+        self.life = 0
+        self.begin_life()
+
+    def begin_life(self):
+        """Everything of an earlier life is forgotten: runs, ends, the fencing token, the clock."""
+        self.life += 1
         self.started = mono()
         self.born = int(time.time() * 1000)
         self.fence = 0
@@ -288,8 +318,29 @@
     def clock(self):
         return int((mono() - self.started) * 1000)
 
+    async def crash(self, down_s):
+        """Crashes and starts again under its id, at its address."""
+        self.fleet.record.add(f"worker {self.name}: crashes, {len(self.running)} runs there")
+        for run in self.running.values():
+            run.timer.cancel()
+            run.ended, run.how = mono(), "crashed"
+        self.begin_life()
+        self.http.stop()
+        await asyncio.sleep(down_s)
+        self.begin_life()
+        await self.start(self.address.rpartition(":")[0])
+        self.fleet.record.add(f"worker {self.name}: is up again, born {self.born}")
+
     async def start(self, host):
-        self.address = await HttpServer(self.handle).start(host)
+        life = self.life
+
+        async def handle(request):
+            answer = await self.handle(request) if self.life == life else None
+            return answer if self.life == life else None
+
+        port = int(self.address.rpartition(":")[2]) if self.address else 0
+        self.http = HttpServer(handle)
+        self.address = await self.http.start(host, port)
         self.fleet.store.put("servers", self.name, {
             "service": self.fleet.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 8,
             "state": "ready", "cold_left_ms": 0, "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
@@ -314,6 +365,7 @@
         return 400, {"clock_ms": self.clock()}
 
     def refuse(self, reason):
+        self.fleet.refusals[reason] = self.fleet.refusals.get(reason, 0) + 1
         return 409, {"clock_ms": self.clock(), "born": self.born, "reason": reason}
 
     def agree(self):
@@ -322,9 +374,11 @@
     def extend(self, deadline):
         self.deadline = max(self.deadline, min(deadline, self.clock() + BOUNDS["hold_max_ms"]))
         if self.running:
-            asyncio.get_running_loop().call_later((self.deadline - self.clock()) / 1000 + 0.001, self.expire)
+            asyncio.get_running_loop().call_later((self.deadline - self.clock()) / 1000 + 0.001, self.expire, self.life)
 
-    def expire(self):
+    def expire(self, life=None):
+        if life is not None and self.life != life:
+            return
         if self.running and self.clock() >= self.deadline:
             for run in list(self.running.values()):
                 self.finish(run, "lapsed")
@@ -352,6 +406,9 @@
         return self.agree()
 
     def finish(self, run, how):
+        # Timers are late when this process is busy: a lease that has expired by then comes first.
+        if how == "done":
+            self.expire()
         if self.running.get(run.task) is not run:
             return
         run.timer.cancel()
@@ -387,6 +444,7 @@
         self.workers = []
         self.runs = {}  # task -> [Run]
         self.noted = {}  # task -> when the end `done` of a run was taken note of
+        self.refusals = {}  # by reason
         self.quiet = False  # True: starts and ends aren't recorded one by one
 
     async def start(self, host, count, zones, per_rack=8, cpu=32000):
@@ -484,7 +542,7 @@
     """The store, the fleet and the nodes of one deployment."""
 
     def __init__(self, folder, nodes, zones=("z-a", "z-b", "z-c")):
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+        self.record = Record(pathlib.Path(os.environ.get("RECORD_DIR", folder)) / "record.txt")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.zones = zones
         self.prefix = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
