--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import bisect
 import itertools
 import json
 import os
@@ -88,10 +89,12 @@
         self.open = set()
 
     def stop(self):
-        """Closes the listener and resets all connections."""
+        """Closes the listener and ends all connections, as the death of a process does: the end is on its way to the
+        other side. What arrives from there later is read by nobody; no answer follows."""
         self.server.close()
         for writer in list(self.open):
-            writer.transport.abort()
+            if not writer.transport.is_closing():
+                writer.write_eof()
 
     async def start(self, host, port=0):
         self.server = await asyncio.start_server(self.serve, host, port, backlog=512)
@@ -152,6 +155,7 @@
     def __init__(self, record):
         self.record = record
         self.rows = {}  # (table, part, key) -> (value, version)
+        self.sorted = {}  # (table, part) -> its keys in order
         self.feed = []  # (version, table, part, key), newest last
         self.version = 0
         self.changed = asyncio.Event()
@@ -224,9 +228,13 @@
     def apply(self, changes):
         self.version += 1
         for place, value in changes:
-            if value is None:
-                self.rows.pop(place, None)
-            else:
+            keys = self.sorted.setdefault(place[:2], [])
+            at = bisect.bisect_left(keys, place[2])
+            if value is None and self.rows.pop(place, None):
+                del keys[at]
+            elif value is not None:
+                if place not in self.rows:
+                    keys.insert(at, place[2])
                 self.rows[place] = (value, self.version)
             if place[0] in ("op", "servers"):
                 self.feed.append((self.version, *place))
@@ -239,14 +247,13 @@
 
     def get(self, query):
         table, part = query["table"], query.get("part", "")
-        keys = sorted((place[2] for place in self.rows if place[0] == table and place[1] == part),
-                      key=lambda key: key.encode())
-        keys = [key for key in keys if key >= query.get("from", "")]
-        if "target" in query:
-            keys = [key for key in keys if key < query["target"]]
+        all_keys = self.sorted.get((table, part), [])  # all keys here are ASCII
+        first = bisect.bisect_left(all_keys, query.get("from", ""))
+        last = bisect.bisect_left(all_keys, query["target"]) if "target" in query else len(all_keys)
         limit = min(int(query.get("limit", MAX_PAGE_ROWS)), MAX_PAGE_ROWS)
-        return 200, {"rows": [self.to_row((table, part, key)) for key in keys[:limit]],
-                     "truncated": len(keys) > limit, "ver": self.version, "now_ms": int(mono() * 1000)}
+        keys = all_keys[first:min(last, first + limit)]
+        return 200, {"rows": [self.to_row((table, part, key)) for key in keys],
+                     "truncated": last - first > limit, "ver": self.version, "now_ms": int(mono() * 1000)}
 
     async def changes(self, query):
         table, after = query["table"], int(query["after"])
@@ -276,7 +283,7 @@
         self.apply([((table, "", key), base64.b64encode(json.dumps(body).encode()).decode())])
 
     def keys(self, table, part):
-        return [place[2] for place in self.rows if place[0] == table and place[1] == part]
+        return self.sorted.get((table, part), [])
 
     def value(self, table, part, key):
         row = self.rows.get((table, part, key))
@@ -365,6 +372,7 @@
         return 400, {"clock_ms": self.clock()}
 
     def refuse(self, reason):
+        self.fleet.record.add(f"worker {self.name}: refuses with {reason}")
         self.fleet.refusals[reason] = self.fleet.refusals.get(reason, 0) + 1
         return 409, {"clock_ms": self.clock(), "born": self.born, "reason": reason}
 
@@ -387,6 +395,7 @@
         task, number = body["task"], body["run"]
         known = self.running.get(task)
         if known and known.number == number:
+            self.fleet.record.add(f"worker {self.name}: {task} run {number} is there already")
             return self.agree()
         if known or number <= self.highest.get(task, 0):
             return self.refuse("old")
@@ -456,7 +465,7 @@
 
     def started(self, run, fence):
         self.runs.setdefault(run.task, []).append(run)
-        if not self.quiet:
+        if not self.quiet or run.worker.life > 1 and mono() - run.worker.started < 4:
             self.record.add(f"worker {run.worker.name}: starts {run.task} run {run.number} fence {fence}")
 
     def finished(self, run):
@@ -526,6 +535,16 @@
         self.send(signal.SIGKILL)
         self.process.wait()
 
+    def memory_mb(self):
+        """The memory that the process holds; 0 if it is gone."""
+        try:
+            for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) // 1024
+        except OSError:
+            pass
+        return 0
+
     def events(self, event):
         """The lines of the log of the current process with this event."""
         found = []
