--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -316,6 +316,7 @@
         self.born = int(time.time() * 1000)
         self.fence = 0
         self.deadline = 0
+        self.lapses = []  # times at which the lease lapsed, whether anything ran then or not
         self.running = {}  # task -> Run
         self.ended = []    # (N, Run)
         self.highest = {}  # task -> highest run stopped or ended here
@@ -380,6 +381,8 @@
         return 200, {"clock_ms": self.clock(), "born": self.born}
 
     def extend(self, deadline):
+        if 0 < self.deadline < self.clock():
+            self.lapses.append(self.started + self.deadline / 1000)
         self.deadline = max(self.deadline, min(deadline, self.clock() + BOUNDS["hold_max_ms"]))
         if self.running:
             asyncio.get_running_loop().call_later((self.deadline - self.clock()) / 1000 + 0.001, self.expire, self.life)
