--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -162,6 +162,7 @@
         self.gates = {}
         self.writes = {}  # by node, while its answers are being lost
         self.refused_rows = 0
+        self.refused_transactions = 0
 
     async def open_gate(self, node, host):
         async def handle(request):
@@ -207,6 +208,7 @@
         entries = expected + puts + removed
         parts = {row["part"] for row in entries}
         if len(entries) > MAX_ENTRIES or len(request.body) > MAX_TX_BYTES or len(parts) > 1:
+            self.refused_transactions += 1
             self.record.add(f"store: a transaction of {len(entries)} entries, {len(request.body)} bytes is refused")
             return 400, {"reason": "limits"}
         for row in puts:
