--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -705,6 +705,11 @@
         print({BROKEN: "broken", HELD: "held"}.get(result, "not run"), flush=True)
         os._exit(result)  # the stand-ins' connections need no orderly end
 
+    def end(*_):
+        cell.end()
+        os._exit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, end)  # the nodes end with the script
     try:
         asyncio.run(go())
     finally:
