Keep one job for a submission that comes again after its key changed

A second team's GET and DELETE reached the first team's job, and its submission under that id was answered 200 and never stored.

Cause: the partition that accepts an id was worked out anew at each arrival, from the team of its key in the answering node's configuration. That differs in time and between nodes, so the same bytes had two homes.

Change: the layout records for each group of keys, once, an arbiter, before anything is accepted for such a key. It is the same for every arrival. Where it isn't the home (the key moved, or may have come without a team first), the id is claimed there before the job is sent on. A job is shown to and stopped by its own callers only.

Ruled out: a look at other partitions before accepting (a submission on its way isn't found); a home that follows the key (a team's limit would be kept twice); claims by the id alone (a second partition and a second write for every submission of a divided cell).

The submissions of owned_partition_test now carry their team and queue, as every call from a node does.

--- a/src/cell/admission.cpp
+++ b/src/cell/admission.cpp
@@ -1,5 +1,7 @@
 #include "cell/admission.h"
 
+#include "cell/cell_layout.h"
+
 #include "medlarhub/hash.h"
 
 namespace medlarhub {
@@ -27,4 +29,23 @@
     return found;
 }
 
+void set_caller(pb::job_call& call, const queue_policy& queue, const team_policy* team,
+                const std::string& key) {
+    call.set_queue(queue.name);
+    call.set_open_queue(queue.open_to_all);
+    call.set_team(team == nullptr ? std::string{} : team->name);
+    if (!key.empty())
+        call.set_key_group(group_of_key(digest(key)));
+}
+
+bool may_repeat(const pb::job_call& call, const job_origin& job) {
+    if (!job.team.empty() && call.team() == job.team)
+        return true;
+    return call.queue() == job.queue && (job.team.empty() || call.team().empty());
+}
+
+bool may_access(const pb::job_call& call, const job_origin& job) {
+    return may_repeat(call, job) || (call.queue() == job.queue && call.open_queue());
+}
+
 } // namespace medlarhub
--- a/src/cell/call_router.cpp
+++ b/src/cell/call_router.cpp
@@ -20,7 +20,8 @@
 constexpr int max_changes_in_flight = 64;
 
 bool is_query(const pb::job_call& call) {
-    return call.what() == pb::job_call::state || call.what() == pb::job_call::count_pending;
+    return call.what() == pb::job_call::state || call.what() == pb::job_call::count_pending ||
+           call.what() == pb::job_call::holds;
 }
 
 /// Adds one partition's count to the sum; if any partition fails, the failure is the result.
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -7,6 +7,7 @@
 #include "cell/layout_keeper.h"
 #include "cell/partition_rows.h"
 #include "cell/relayed_targets.h"
+#include "cell/submission.h"
 #include "cell/succession.h"
 #include "cell/target_command_limiter.h"
 #include "cell/target_exchange.h"
@@ -60,6 +61,7 @@
 constexpr milliseconds release_wait{1500};
 constexpr milliseconds take_timeout{500};
 constexpr milliseconds exchange_timeout{500};
+constexpr milliseconds holds_timeout{1000};
 /// Interval between reads of target assignments; each reads the rows of the next partition.
 constexpr milliseconds assignments_read_period{1000};
 constexpr auto node_prefix = "/node/";
@@ -156,16 +158,22 @@
     void call(pb::job_call call, job_callback done) {
         const auto layout = m_view.layout();
         const int partitions = layout->partitions;
-        const auto home = home_partition_of(*layout, call.team(), call.id());
-        const bool counts = call.what() == pb::job_call::count_pending;
-        if (partitions == 0 || (!home && !counts))
-            return done(make_job_answer(pb::job_answer::not_run, last_reason(), no_layout_retry));
-        if (counts)
+        if (partitions > 0 && call.what() == pb::job_call::count_pending)
             return m_router->call_all(std::move(call), partitions, std::move(done));
+        const auto key_group = call.has_key_group() ? std::optional{call.key_group()} : std::nullopt;
+        const auto places = places_of(*layout, call.team(), key_group, call.id());
+        if (places && call.what() == pb::job_call::submit)
+            return submit_once(m_router, std::move(call), *places, std::move(done));
+        const auto home =
+            places ? std::optional{places->home} : home_partition_of(*layout, call.team(), call.id());
+        if (!home || call.what() == pb::job_call::submit) {
+            log_event(log_level::info, "call_refused", {{"request", call.id()}, {"reason", last_reason()}});
+            return done(make_job_answer(pb::job_answer::not_run, last_reason(), no_layout_retry));
+        }
         call.set_partition(*home);
         m_router->call(call, [this, call, partitions, done = std::move(done)](const pb::job_answer& answer) {
-            // A job of a queue that is or was open without authorization may have been submitted without its
-            // team, and then has another home partition.
+            // The job may have been submitted by a key that was another team's or no team's, and then is
+            // stored in another partition.
             if (answer.result() != pb::job_answer::not_found || partitions == 1)
                 return done(answer);
             m_router->call_all(call, partitions, done);
@@ -616,6 +624,9 @@
         environment.commands = &m_relayed;
         environment.counters = &m_counters;
         environment.ask = [this](const advice_request& request, auto done) { ask(request, std::move(done)); };
+        environment.holds = [this](int partition, const std::string& job, auto answered) {
+            holds(partition, job, std::move(answered));
+        };
         environment.announce = [this](const std::vector<target_transfer>& transfers) {
             m_exchange.announce(now(), transfers);
         };
@@ -716,6 +727,20 @@
         m_peers.take(address, request, take_timeout, [](peer_delivery, const pb::take_reply&) {});
     }
 
+    void holds(int partition, const std::string& job, std::function<void(std::optional<bool>)> done) {
+        pb::job_call call;
+        call.set_what(pb::job_call::holds);
+        call.set_partition(partition);
+        call.set_id(job);
+        call.set_timeout_ms(holds_timeout.count());
+        m_router->call(std::move(call), [done = std::move(done)](const pb::job_answer& answer) {
+            if (answer.result() == pb::job_answer::ok)
+                done(true);
+            else
+                done(answer.result() == pb::job_answer::not_found ? std::optional{false} : std::nullopt);
+        });
+    }
+
     /// Updates the nodes that relay commands and advice requests for this one.
     void update_relays() {
         if (partitions().empty())
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -1,6 +1,7 @@
 #include "cell/owned_partition.h"
 
 #include "cell/adaptive_timeout.h"
+#include "cell/admission.h"
 #include "cell/clocks.h"
 #include "cell/lease.h"
 #include "cell/partition_rows.h"
@@ -181,6 +182,13 @@
                 return submit(at, call, std::move(done));
             case pb::job_call::cancel:
                 return cancel(at, call, std::move(done));
+            case pb::job_call::claim:
+                return claim(at, call, std::move(done));
+            case pb::job_call::holds: {
+                const auto result =
+                    m_engine->known(call.id()) ? pb::job_answer::ok : pb::job_answer::not_found;
+                return answer(done, make_job_answer(result, {}, 0ms));
+            }
             case pb::job_call::count_pending: {
                 auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
                 made.set_pending(m_engine->pending(call.queue()));
@@ -189,8 +197,8 @@
             default: {
                 auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
                 made.set_state(m_engine->state(call.id()));
-                if (made.state() == pb::job_answer::none)
-                    made.set_result(pb::job_answer::not_found);
+                if (made.state() == pb::job_answer::none || !is_accessible(call))
+                    made = make_job_answer(pb::job_answer::not_found, "no such job", 0ms);
                 return answer(done, std::move(made));
             }
             }
@@ -209,6 +217,7 @@
             if (at >= m_next_report) {
                 m_next_report = at + report_period;
                 report();
+                m_claim_checks = m_engine->claims().take_due_checks(at);
             }
         });
     }
@@ -237,10 +246,12 @@
     }
 
 private:
+    /// A caller that waits until a job, or a claim of its id, is written.
     struct waiter {
         std::string job;
         job_callback done;
         instant deadline;
+        std::optional<pb::job_answer> claim_answer; ///< the answer once the claim is written
     };
 
     /// Effects that were decided under the lock and are carried out after releasing it.
@@ -249,6 +260,7 @@
         milliseconds start_timeout{0};
         std::vector<target_poll_command> polls;
         std::vector<advice_request> advice_requests;
+        std::vector<id_claims::check> claim_checks;
         std::vector<engine_event> events;
         std::vector<std::function<void()>> answers;
         bool wake = false;
@@ -316,6 +328,7 @@
         if (m_status != partition_status::active)
             return;
         out.advice_requests = m_engine->take_advice_requests();
+        out.claim_checks.swap(m_claim_checks);
         if (may_command()) {
             out.commands = m_engine->take_commands(at);
             out.start_timeout = m_start_timeout.timeout();
@@ -335,6 +348,8 @@
             poll(command);
         for (const auto& request : out.advice_requests)
             ask(request);
+        for (const auto& check : out.claim_checks)
+            check_claim(check);
         for (const auto& answer : out.answers)
             answer();
         for (const auto& event : out.events)
@@ -387,8 +402,27 @@
         });
     }
 
+    /// Asks the partition that has the id whether it still knows the job.
+    void check_claim(const id_claims::check& check) {
+        m_environment.holds(check.partition, check.job,
+                            [self = shared_from_this(), job = check.job](std::optional<bool> known) {
+                                if (!known)
+                                    return;
+                                self->locked([&](instant at) {
+                                    if (self->m_engine)
+                                        self->m_engine->claims().handle_check(at, job, *known);
+                                });
+                            });
+    }
+
     // ---- Callers ----
 
+    /// Whether the job exists and is the caller's.
+    bool is_accessible(const pb::job_call& call) const {
+        const auto origin = m_engine->origin(call.id());
+        return origin && may_access(call, *origin);
+    }
+
     /// Returns since when writes to the table fail; unset while they succeed. A write without any response
     /// counts as failing before it times out.
     instant failing_since(instant at) const {
@@ -411,8 +445,33 @@
         }
         if (const auto fault = validation_error(call.spec()))
             return answer(done, make_job_answer(pb::job_answer::invalid, *fault, 0ms));
-        if (m_engine->known(id))
-            return answer_when_durable(at, call, id, std::move(done));
+        if (const auto origin = m_engine->origin(id)) {
+            if (may_repeat(call, *origin))
+                return answer_when_durable(at, call, id, std::move(done));
+            log_event(log_level::info, "id_in_use",
+                      {{"request", id},
+                       {"team", call.team()},
+                       {"queue", call.queue()},
+                       {"job_team", origin->team},
+                       {"job_queue", origin->queue}});
+            return answer(done, make_job_answer(pb::job_answer::conflict, "the id is in use", 0ms));
+        }
+        if (const auto holder = m_engine->claims().holder(id); holder && !call.claimed()) {
+            auto elsewhere = make_job_answer(pb::job_answer::held_elsewhere, "the id was claimed", 0ms);
+            elsewhere.set_held_by(*holder);
+            return answer_when_claimed(at, call, std::move(elsewhere), std::move(done));
+        }
+        if (call.has_home() && call.home() != m_options.number) {
+            // An earlier arrival was decided to be stored here, and wasn't; the id is free again once its
+            // claim is removed. Here the job would run beside the limit of its team.
+            log_event(log_level::info, "job_refused",
+                      {{"request", id},
+                       {"reason", "claimed for another home"},
+                       {"home", std::to_string(call.home())},
+                       {"partition", std::to_string(m_options.number)}});
+            return answer(done, make_job_answer(pb::job_answer::not_run, "the id is claimed for another home",
+                                                longest_retry));
+        }
         const bool accepted_before = call.spec().accepted_ms() != 0;
         if (!accepted_before && refuse_if_overloaded(at, call.spec(), done))
             return;
@@ -436,8 +495,33 @@
         return true;
     }
 
+    /// Gives the id to the caller's home, unless another partition has it.
+    void claim(instant at, const pb::job_call& call, job_callback done) {
+        auto made = make_job_answer(pb::job_answer::ok, {}, 0ms);
+        made.set_held_by(m_options.number);
+        if (m_engine->known(call.id()))
+            return answer(done, std::move(made));
+        if (is_table_unavailable(at))
+            return answer(done, make_job_answer(pb::job_answer::not_run, "the table is out", outage_retry));
+        made.set_held_by(m_engine->claims().claim(at, call.id(), call.home()));
+        m_environment.counters->count("claims_total");
+        log_event(log_level::info, "id_claimed",
+                  {{"request", call.id()},
+                   {"arbiter", std::to_string(m_options.number)},
+                   {"home", std::to_string(call.home())},
+                   {"held_by", std::to_string(made.held_by())}});
+        answer_when_claimed(at, call, std::move(made), std::move(done));
+    }
+
+    void answer_when_claimed(instant at, const pb::job_call& call, pb::job_answer made, job_callback done) {
+        if (m_engine->claims().durable(call.id()))
+            return answer(done, std::move(made));
+        m_waiters.push_back({call.id(), std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin,
+                             std::move(made)});
+    }
+
     void cancel(instant at, const pb::job_call& call, job_callback done) {
-        if (!m_engine->cancel(at, call.id()))
+        if (!is_accessible(call) || !m_engine->cancel(at, call.id()))
             return answer(done, make_job_answer(pb::job_answer::not_found, "no such job", 0ms));
         answer_when_durable(at, call, call.id(), std::move(done));
     }
@@ -445,7 +529,7 @@
     void answer_when_durable(instant at, const pb::job_call& call, const std::string& id, job_callback done) {
         if (m_engine->durable(id))
             return answer(done, make_job_answer(pb::job_answer::ok, {}, 0ms));
-        m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin});
+        m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin, {}});
     }
 
     void report() {
@@ -500,16 +584,18 @@
 
     void answer_durable_waiters() {
         std::erase_if(m_waiters, [&](const waiter& waiting) {
-            if (!m_engine->durable(waiting.job))
+            const bool claim = waiting.claim_answer.has_value();
+            if (claim ? !m_engine->claims().durable(waiting.job) : !m_engine->durable(waiting.job))
                 return false;
-            answer(waiting.done, make_job_answer(pb::job_answer::ok, {}, 0ms));
+            answer(waiting.done, waiting.claim_answer.value_or(make_job_answer(pb::job_answer::ok, {}, 0ms)));
             return true;
         });
     }
 
     void answer_expired_waiters(instant at) {
         std::erase_if(m_waiters, [&](const waiter& waiting) {
-            if (is_table_unavailable(at) && m_engine->withdraw(waiting.job)) {
+            // A claim that may be recorded harms nobody: its job is as free to be submitted as before.
+            if (is_table_unavailable(at) && (waiting.claim_answer || m_engine->withdraw(waiting.job))) {
                 answer(waiting.done,
                        make_job_answer(pb::job_answer::not_run, "the table is out", outage_retry));
                 return true;
@@ -578,6 +664,13 @@
         return all;
     }
 
+    /// Nothing is claimed in a cell of one partition.
+    std::optional<std::map<std::string, int>> read_own_claims() {
+        if (m_options.partitions <= 1)
+            return std::map<std::string, int>{};
+        return read_claims(*m_environment.rows, m_options.number);
+    }
+
     bool take() {
         const auto began = now();
         const auto epoch = m_rows.take();
@@ -587,7 +680,8 @@
         const auto content = until_read([this] { return m_rows.load(); });
         const auto assignments =
             content ? until_read([this] { return read_all_assignments(); }) : std::nullopt;
-        if (!assignments)
+        const auto claims = assignments ? until_read([this] { return read_own_claims(); }) : std::nullopt;
+        if (!claims)
             return false;
         engine_options options;
         options.partition = m_options.number;
@@ -606,6 +700,7 @@
             m_engine->set_drained(m_declared.drained_data_centres);
             m_engine->set_advice_relays(m_advisers);
             m_engine->restore(content->specs, content->progress);
+            m_engine->restore_claims(at, *claims);
             (void)m_assignments.learn(*assignments);
             m_engine->restore_roster(at, content->roster);
             update_engine_targets(at);
@@ -619,6 +714,7 @@
                    {"epoch", std::to_string(*epoch)},
                    {"open", std::to_string(content->specs.size())},
                    {"kept", std::to_string(content->progress.size())},
+                   {"claims", std::to_string(claims->size())},
                    {"earlier_lease_ms", std::to_string(m_rows.earlier_lease().count())},
                    {"fence_ms", std::to_string((fenced - began).count())},
                    {"load_ms", std::to_string((now() - fenced).count())}});
@@ -724,8 +820,9 @@
             // A job that is part of a write may have been recorded; only one that never was is safe to
             // resubmit as new.
             for (const auto& waiting : m_waiters) {
-                const auto outcome = m_engine && m_engine->withdraw(waiting.job) ? pb::job_answer::not_owner
-                                                                                 : pb::job_answer::unknown;
+                const bool surely_not_run =
+                    waiting.claim_answer || (m_engine && m_engine->withdraw(waiting.job));
+                const auto outcome = surely_not_run ? pb::job_answer::not_owner : pb::job_answer::unknown;
                 answer(waiting.done, make_job_answer(outcome, "the partition moved", default_retry));
             }
             m_waiters.clear();
@@ -756,6 +853,7 @@
     std::map<int, other_load> m_other_loads; ///< by partition
     std::vector<std::string> m_advisers;
     std::vector<waiter> m_waiters;
+    std::vector<id_claims::check> m_claim_checks; ///< to be sent
     std::vector<std::function<void()>> m_answers;
     stall_guard m_guard;
     suspension_guard m_suspension;
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -38,6 +38,10 @@
     metrics* counters = nullptr;
     /// Sends a request to the advice service through some node; invokes the callback exactly once.
     std::function<void(const advice_request&, std::function<void(std::optional<advice_reply>)>)> ask;
+    /// Asks a partition whether it knows a job; invokes the callback exactly once, with nothing if there was
+    /// no answer.
+    std::function<void(int partition, const std::string& job, std::function<void(std::optional<bool>)>)>
+        holds;
     /// Notifies the owners of other partitions of targets that were transferred to them.
     std::function<void(const std::vector<target_transfer>&)> announce;
 };
--- a/src/cell/partition_rows.cpp
+++ b/src/cell/partition_rows.cpp
@@ -18,6 +18,7 @@
 constexpr auto roster_kind = "roster";
 constexpr auto roster_name = "targets";
 constexpr auto assignment_kind = "tenure";
+constexpr auto claim_kind = "claim";
 /// Stands for a malformed row: no partition uses a target whose assignment is unknown.
 constexpr target_assignment unknown_assignment{-1, 1};
 constexpr int rows_per_read = 500;
@@ -64,6 +65,21 @@
     return assignments;
 }
 
+std::optional<std::map<std::string, int>> read_claims(table& rows, int partition) {
+    const auto prefix = prefix_of(partition) + claim_kind + "/";
+    const auto found = list_all(rows, prefix);
+    if (!found)
+        return {};
+    std::map<std::string, int> claims;
+    for (const auto& row : *found) {
+        pb::id_claim claim;
+        if (!claim.ParseFromString(row.value))
+            return fail("the row " + row.key + " can't be parsed");
+        claims[row.key.substr(prefix.size())] = claim.partition();
+    }
+    return claims;
+}
+
 std::string node_of(const std::string& owner) {
     return owner.substr(0, owner.rfind('/'));
 }
@@ -197,6 +213,12 @@
     }
     for (const auto& transfer : rows.transfers)
         writes.push_back(put(key(assignment_kind, transfer.target), to_text(transfer.to)));
+    for (const auto& claim : rows.claims) {
+        pb::id_claim row;
+        row.set_partition(claim.partition.value_or(0));
+        writes.push_back(claim.partition ? put(key(claim_kind, claim.job), row.SerializeAsString())
+                                         : drop(key(claim_kind, claim.job)));
+    }
     if (rows.roster)
         writes.push_back(put(key(roster_kind, roster_name), *rows.roster));
     return commit(m_head, std::move(writes));
--- a/src/cell/partition_rows.h
+++ b/src/cell/partition_rows.h
@@ -33,6 +33,9 @@
 /// Reads the last transfer of each target that the partition has transferred to another one.
 std::optional<std::map<std::string, target_assignment>> read_assignments(table& rows, int partition);
 
+/// Reads the ids that the partition, as their arbiter, gave to other partitions.
+std::optional<std::map<std::string, int>> read_claims(table& rows, int partition);
+
 /// A partition's rows in the table. Every transaction also replaces the head row, on the condition that it is
 /// unchanged since this owner's last write. So writes of an owner that has lost the partition, and writes
 /// that are executed late, have no effect. Calls block; not thread-safe.
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -61,7 +61,7 @@
 }
 
 job_engine::job_engine(engine_options options)
-    : m_options{options}, m_config{std::make_shared<cell_config>()} {}
+    : m_options{options}, m_config{std::make_shared<cell_config>()}, m_claims{options.retention} {}
 job_engine::~job_engine() = default;
 
 void job_engine::add_event(std::string what, std::string job, std::string detail) {
@@ -162,6 +162,12 @@
     return m_jobs.contains(job);
 }
 
+std::optional<job_origin> job_engine::origin(const std::string& job) const {
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? std::nullopt
+                                 : std::optional{job_origin{found->second.team, found->second.queue}};
+}
+
 bool job_engine::durable(const std::string& job) const {
     const auto found = m_jobs.find(job);
     return found != m_jobs.end() && found->second.durable_version >= found->second.version;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -52,6 +52,10 @@
                  const std::map<std::string, pb::job_progress>& progress);
     /// Sets the targets that may still run tasks started by earlier owners.
     void restore_roster(instant at, const std::vector<std::string>& targets);
+    /// Sets the ids that this partition gave to others.
+    void restore_claims(instant at, const std::map<std::string, int>& claims) {
+        m_claims.restore(at, claims);
+    }
 
     // Configuration.
     void set_config(std::shared_ptr<const cell_config> config);
@@ -79,6 +83,9 @@
     /// Returns false if the job is unknown.
     bool cancel(instant at, const std::string& job);
     [[nodiscard]] bool known(const std::string& job) const;
+    /// Returns nothing if the job is unknown.
+    [[nodiscard]] std::optional<job_origin> origin(const std::string& job) const;
+    [[nodiscard]] id_claims& claims() { return m_claims; }
     /// Whether the state of the job that callers may see is written.
     [[nodiscard]] bool durable(const std::string& job) const;
     [[nodiscard]] pb::job_answer::job_state state(const std::string& job) const;
@@ -454,6 +461,7 @@
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended; ///< by time of their end
 
+    id_claims m_claims;
     std::vector<advice_request> m_advice_requests;
     advice_relays m_advice_relays;
     std::map<std::string, good_share> m_good_share; ///< by queue
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/cell_config.h"
+#include "jobs/id_claims.h"
 #include "jobs/task_name.h"
 
 #include "medlarhub/time.h"
@@ -92,6 +93,12 @@
     std::vector<reported_end> ended;
 };
 
+/// Whose job it is.
+struct job_origin {
+    std::string team; ///< empty: submitted to an open queue without a team's key
+    std::string queue;
+};
+
 enum class accept_outcome { accepted, known, invalid };
 
 /// A target that is transferred to another partition.
@@ -112,6 +119,7 @@
     std::vector<row> rows;
     std::optional<std::string> roster;
     std::vector<target_transfer> transfers;
+    std::vector<id_claims::row> claims;
 };
 
 /// A scheduling decision, for the log.
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t max_bytes = 400'000;
 /// Entries reserved for writes that no caller waits for, since targets may forget ends only after these.
 constexpr std::size_t lazy_entries = 20;
+constexpr std::size_t max_claim_entries = 20;
 constexpr milliseconds forget_period{2000};
 constexpr std::size_t forget_batch = 10;
 
@@ -121,8 +122,8 @@
 bool job_engine::write_due(instant at) const {
     if (m_rows_in_write)
         return false;
-    if (!m_urgent.empty() || (m_roster_dirty && m_roster != m_roster_written) || !m_rows_to_delete.empty() ||
-        m_transfers_due || (at < m_longest_granted_until && !m_longest_recorded))
+    if (!m_urgent.empty() || m_claims.write_due() || (m_roster_dirty && m_roster != m_roster_written) ||
+        !m_rows_to_delete.empty() || m_transfers_due || (at < m_longest_granted_until && !m_longest_recorded))
         return true;
     return !m_dirty.empty() && at - m_dirty_since >= max_lazy_delay;
 }
@@ -173,7 +174,9 @@
             m_pending_acks->upto[id] = target.seen_upto;
     }
     take_transfers(made);
-    transaction_budget budget{max_entries - made.transfers.size() - std::min(lazy_entries, m_dirty.size()),
+    made.claims = m_claims.take_rows(max_claim_entries);
+    transaction_budget budget{max_entries - made.transfers.size() - made.claims.size() -
+                                  std::min(lazy_entries, m_dirty.size()),
                               max_bytes};
     fill_rows(m_urgent, budget, made);
     budget.entries += std::min(lazy_entries, m_dirty.size());
@@ -251,6 +254,7 @@
             job->durable_version = std::max(job->durable_version, job->version_in_write);
     }
     m_writing.clear();
+    m_claims.rows_written();
     for (const auto& [id, upto] : m_acks_writing) {
         const auto target = m_targets.find(id);
         if (target != m_targets.end() && upto <= target->second.seen_upto)
--- a/test/cell_layout_test.cpp
+++ b/test/cell_layout_test.cpp
@@ -144,15 +144,56 @@
     beyond.racks["dc0/r0"] = 3;
     auto team_beyond = layout;
     team_beyond.teams["a"] = -1;
+    auto arbiter_beyond = layout;
+    arbiter_beyond.arbiters[7] = 3;
     pb::cell_layout earlier; // from a release that spread a team over several partitions
     earlier.set_partitions(3);
     (*earlier.mutable_teams())["a"].add_partitions(0);
     const auto text = GENERATE_COPY(std::string{"\xff\xff\xff"}, std::string{}, to_text({0, {}, {}}),
                                     to_text({5000, {}, {}}), to_text(beyond), to_text(team_beyond),
-                                    earlier.SerializeAsString());
+                                    to_text(arbiter_beyond), earlier.SerializeAsString());
     CHECK(!parse_layout(text));
 }
 
+TEST_CASE("the arbiter of a key never changes once it is recorded", "[layout]") {
+    const auto with_key = [](const std::string& team, bool open) {
+        auto config = teams({{"a", 2}, {"b", 1}}, 0);
+        config.teams.at(team).key_digests = {"digest"};
+        config.queues["checks"].open_to_all = open;
+        return config;
+    };
+    const auto group = group_of_key("digest");
+    const auto none = layout_with(3, make_targets(20, 2));
+    const auto arbiter = [&](const cell_layout& layout, const std::string& team) {
+        return places_of(layout, team, group, "17").value().arbiter;
+    };
+    const auto first = with_teams_of(none, with_key("a", false));
+    CHECK(covers(first, with_key("a", false)));
+    CHECK(!covers(first, with_key("a", true)));
+    CHECK(arbiter(first, "a") == first.teams.at("a"));
+    CHECK(!places_of(first, "", group, "17")); // no open queue is recorded
+    const auto given_on = with_teams_of(first, with_key("b", true));
+    CHECK(arbiter(given_on, "b") == first.teams.at("a"));
+    CHECK(places_of(given_on, "b", group, "17").value().home == first.teams.at("b"));
+    CHECK(arbiter(given_on, "") == first.teams.at("a"));
+    CHECK(parse_layout(to_text(given_on)) == given_on);
+
+    auto open_first = teams({{"a", 2}, {"b", 1}}, 0);
+    open_first.queues["checks"].open_to_all = true;
+    const auto open = with_teams_of(none, open_first);
+    CHECK(!places_of(open, "a", group, "17")); // the key isn't recorded
+    const auto added = with_teams_of(open, with_key("a", false));
+    std::set<int> used;
+    for (int job = 0; job < 50; ++job) {
+        const auto id = std::to_string(job);
+        const auto before = places_of(open, "", group, id).value();
+        CHECK(before.home == before.arbiter);
+        CHECK(places_of(added, "a", group, id).value().arbiter == before.arbiter);
+        used.insert(before.arbiter);
+    }
+    CHECK(used.size() == 3);
+}
+
 TEST_CASE("if two nodes create the layout concurrently, one wins and the other reads its layout",
           "[layout]") {
     standin::memory_table rows;
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -90,6 +90,8 @@
     pb::job_call call;
     call.set_what(pb::job_call::submit);
     call.set_id(id);
+    call.set_queue("checks");
+    call.set_team("orchard");
     call.set_timeout_ms(60'000);
     auto& spec = *call.mutable_spec();
     spec.set_id(id);
