End a process with nothing in hand, and keep a partition until it is taken

Cause: a process ended by a clock, 1.6 s before the end of its grace, and took new requests until then; and a node that left gave its partitions up at once, also to a node that was leaving itself, so that calls waited 1.2 s for an owner that couldn't come.

Change: one drain for both programs: serve until the load balancer has noticed, refuse new requests at once, end when nothing is in hand, answers written out included; before the end of the grace answer the rest with what is true. A node that leaves asks before it hands a partition over, and keeps it otherwise. A call that no node can serve is refused at once. Callers of a partition that is given up are answered by their deadline.

Ruled out: a longer clock; refusing from SIGTERM on, as the load balancer still sends.

--- a/src/callers/caller_api.cpp
+++ b/src/callers/caller_api.cpp
@@ -20,6 +20,7 @@
 constexpr int max_tasks = 10'000;
 constexpr std::int64_t ms_per_second = 1000;
 constexpr int stale_config_retry_ms = 500;
+constexpr milliseconds stopping_retry{1000};
 const std::string keyless_id_prefix = "open.";
 
 std::string dump(const json& body) {
@@ -175,6 +176,18 @@
 
 bool caller_api::handle(const http_request& request, const http_responder& respond) {
     const auto path = path_segments(request.path);
+    const bool by_caller =
+        path.size() > 1 && path[0] == "v1" && (path[1] == "services" || path[1] == "requests");
+    if (by_caller && m_refusing) {
+        pb::answer answer;
+        answer.set_result(pb::answer::not_run);
+        answer.set_reason("the node is stopping");
+        answer.set_retry_after_ms(stopping_retry.count());
+        auto response = to_response(answer);
+        response.headers["Connection"] = "close";
+        respond(std::move(response));
+        return true;
+    }
     if (path.size() == 4 && path[0] == "v1" && path[1] == "services" && path[3] == "requests") {
         if (request.method == "POST")
             submit(request, path[2], respond);
--- a/src/callers/caller_api.h
+++ b/src/callers/caller_api.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "http/server.h"
+
 #include "node/node.h"
+#include <atomic>
 
 namespace medlarhub {
 
@@ -13,6 +15,8 @@
     /// Handles requests under /v1/services and /v1/requests, the load balancer's health and readiness checks,
     /// and /metrics. Returns false for any other path.
     bool handle(const http_request& request, const http_responder& respond);
+    /// Refuses all further requests under /v1 at once; the process is about to end.
+    void refuse_requests() { m_refusing = true; }
 
 private:
     void submit(const http_request& request, const std::string& service, const http_responder& respond);
@@ -20,6 +24,7 @@
     bool handle_health_or_metrics(const http_request& request, const http_responder& respond);
 
     node& m_node;
+    std::atomic<bool> m_refusing{false};
 };
 
 /// Returns the bearer token of the Authorization header; empty when there is none.
--- a/src/cell/call_router.cpp
+++ b/src/cell/call_router.cpp
@@ -3,6 +3,7 @@
 #include "log.h"
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace medlarhub {
@@ -50,8 +51,9 @@
     job_callback done;
     instant deadline{};
     instant owner_search_deadline{}; ///< applies while no owner can have received the call
-    bool maybe_recorded = false;
-    int attempt = 0; ///< current attempt; answers to earlier ones are ignored
+    std::atomic<bool> maybe_recorded = false;
+    std::atomic<bool> at_owner = false; ///< an owner has it and hasn't answered
+    int attempt = 0;                    ///< current attempt; answers to earlier ones are ignored
 };
 
 call_router::call_router(const owner_lookup& owners, call_batcher::sender send, metrics& counters)
@@ -65,6 +67,10 @@
     made->owner_search_deadline = std::min(made->deadline, now() + owner_search_timeout);
     made->call = std::move(call);
     made->done = std::move(done);
+    {
+        const std::lock_guard lock{m_mutex};
+        m_open.insert(made);
+    }
     route(made);
 }
 
@@ -93,14 +99,19 @@
 }
 
 void call_router::route(const call_pointer& routed) {
+    if (!is_open(routed))
+        return;
+    if (m_gave_up)
+        return give_up(routed, "the node is stopping");
     const auto left = routed->deadline - now();
     if (left <= 0ms)
-        return give_up(routed);
+        return give_up(routed, "the owner was not reached in time");
     auto call = routed->call;
     call.set_timeout_ms(left.count());
     const int number = call.partition();
     if (const auto local = m_owners.local_partition(number);
         local && local->status() == partition_status::active) {
+        routed->at_owner = true;
         local->call(call, [self = shared_from_this(), routed](const pb::job_answer& answer) {
             self->answered(routed, answer);
         });
@@ -120,6 +131,7 @@
         attempt = ++routed->attempt;
         m_forwarded[number].insert(routed);
     }
+    routed->at_owner = true;
     auto& batcher = is_query(call) ? m_queries : m_changes;
     batcher->add(address, std::move(call),
                  [self = shared_from_this(), routed, number, attempt](peer_delivery delivery,
@@ -134,35 +146,66 @@
                          return self->answered(routed, answer);
                      if (delivery == peer_delivery::lost)
                          routed->maybe_recorded = true;
+                     routed->at_owner = false;
                      self->retry_later(routed);
                  });
 }
 
 void call_router::answered(const call_pointer& routed, const pb::job_answer& answer) {
+    routed->at_owner = false;
     if (answer.result() == pb::job_answer::not_owner)
         return retry_later(routed);
     if (answer.result() == pb::job_answer::not_run && routed->maybe_recorded)
-        return give_up(routed);
+        return give_up(routed, "refused after an attempt without an answer");
+    finish(routed, answer);
+}
+
+void call_router::finish(const call_pointer& routed, const pb::job_answer& answer) {
+    {
+        const std::lock_guard lock{m_mutex};
+        if (m_open.erase(routed) == 0)
+            return;
+    }
     routed->done(answer);
 }
 
+bool call_router::is_open(const call_pointer& routed) {
+    const std::lock_guard lock{m_mutex};
+    return m_open.contains(routed);
+}
+
 void call_router::retry_later(const call_pointer& routed) {
+    if (!m_owners.expects_owners())
+        return give_up(routed, "all nodes that are known are leaving");
     const auto until = routed->maybe_recorded ? routed->deadline : routed->owner_search_deadline;
     if (now() + reroute_delay >= until)
-        return give_up(routed);
+        return give_up(routed, "the owner was not reached in time");
     const std::lock_guard lock{m_mutex};
     m_delayed.emplace(now() + reroute_delay, routed);
 }
 
-void call_router::give_up(const call_pointer& routed) {
+void call_router::give_up(const call_pointer& routed, std::string_view reason) {
     const bool submit = routed->call.what() == pb::job_call::submit;
-    const bool surely_not_run = submit && !routed->maybe_recorded;
+    const bool maybe_recorded = routed->maybe_recorded || routed->at_owner;
     m_counters.count("calls_given_up_total");
-    log_event(
-        log_level::info, "call_given_up",
-        {{"request", routed->call.id()}, {"maybe_recorded", routed->maybe_recorded ? "true" : "false"}});
-    routed->done(make_job_answer(surely_not_run ? pb::job_answer::not_run : pb::job_answer::unknown,
-                                 "the owner was not reached in time", default_retry));
+    log_event(log_level::info, "call_given_up",
+              {{"request", routed->call.id()},
+               {"maybe_recorded", maybe_recorded ? "true" : "false"},
+               {"reason", std::string{reason}}});
+    finish(routed,
+           make_job_answer(submit && !maybe_recorded ? pb::job_answer::not_run : pb::job_answer::unknown,
+                           reason, default_retry));
+}
+
+void call_router::give_up_all() {
+    m_gave_up = true;
+    std::vector<call_pointer> open;
+    {
+        const std::lock_guard lock{m_mutex};
+        open.assign(m_open.begin(), m_open.end());
+    }
+    for (const auto& each : open)
+        give_up(each, "the node is stopping");
 }
 
 void call_router::owner_changed(int partition) {
@@ -170,6 +213,7 @@
     for (const auto& routed : std::exchange(m_forwarded[partition], {})) {
         ++routed->attempt;
         routed->maybe_recorded = true;
+        routed->at_owner = false;
         m_delayed.emplace(instant{}, routed);
     }
 }
--- a/src/cell/call_router.h
+++ b/src/cell/call_router.h
@@ -6,12 +6,14 @@
 
 #include "jobs.pb.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace medlarhub {
 
@@ -27,6 +29,8 @@
     [[nodiscard]] virtual std::shared_ptr<owned_partition> local_partition(int number) const = 0;
     /// Returns the peer address of the other node that owns the partition; empty if none is known.
     [[nodiscard]] virtual std::string remote_owner(int number) const = 0;
+    /// Whether a node may become the owner of an ownerless partition within the time of a takeover.
+    [[nodiscard]] virtual bool expects_owners() const { return true; }
 };
 
 /// Routes callers' calls to the owners of their partitions. Calls are idempotent by job id, so a call that
@@ -45,6 +49,9 @@
     void owner_changed(int partition);
     /// Retries the calls that wait for an owner; to be called every `tick_period`.
     void tick(instant at);
+    /// Answers all calls without an answer, and later ones at once: as not run if no owner can have received
+    /// them, else as unknown.
+    void give_up_all();
 
     /// Serves a batch of calls from another node; replies once all of them are answered.
     void answer_peer(const pb::job_calls& calls, std::function<void(pb::job_answers)> done) const;
@@ -57,13 +64,18 @@
     void forward(const call_pointer& routed, const std::string& address, pb::job_call call);
     void answered(const call_pointer& routed, const pb::job_answer& answer);
     void retry_later(const call_pointer& routed);
-    void give_up(const call_pointer& routed);
+    void give_up(const call_pointer& routed, std::string_view reason);
+    /// Passes the answer on, unless the call was answered before.
+    void finish(const call_pointer& routed, const pb::job_answer& answer);
+    [[nodiscard]] bool is_open(const call_pointer& routed);
 
     const owner_lookup& m_owners;
     metrics& m_counters;
     std::shared_ptr<call_batcher> m_queries;
     std::shared_ptr<call_batcher> m_changes;
+    std::atomic<bool> m_gave_up{false};
     std::mutex m_mutex;                                ///< guards the members below
+    std::set<call_pointer> m_open;                     ///< without an answer
     std::map<int, std::set<call_pointer>> m_forwarded; ///< by partition, not answered yet
     std::multimap<instant, call_pointer> m_delayed;
 };
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -20,6 +20,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <limits>
 #include <mutex>
 #include <thread>
@@ -57,6 +58,8 @@
 constexpr milliseconds takeover_request_period{300};
 /// A node that was asked isn't asked again for this long.
 constexpr milliseconds takeover_request_backoff{3000};
+/// A node that declined an offer may only have started.
+constexpr milliseconds offer_backoff{500};
 constexpr milliseconds advice_timeout_margin{1500};
 constexpr milliseconds release_wait{1500};
 constexpr milliseconds take_timeout{500};
@@ -120,16 +123,29 @@
         return m_options.peer_address;
     }
 
-    void hand_over() {
+    void leave() {
         m_leaving = true;
         m_view.leave();
-        for (const auto& [number, owned] : partitions()) {
-            owned->release(release_wait);
-            notify_successor(number);
-        }
         gossip_round();
     }
 
+    void give_up_calls() {
+        m_router->give_up_all();
+        for (const auto& [number, owned] : partitions())
+            owned->release(0ms); // what other nodes wait for here is answered when it closes
+    }
+
+    void release_partitions(milliseconds longest) {
+        const auto until = now() + std::min(longest, release_wait);
+        const auto left = partitions();
+        for (const auto& [number, owned] : left)
+            owned->release(0ms);
+        for (const auto& [number, owned] : left)
+            owned->release(std::max(until - now(), 0ms));
+    }
+
+    int peer_calls_in_hand() const { return m_peer_calls_in_hand; }
+
     void stop() {
         m_stopping = true;
         m_stop.notify_all();
@@ -191,6 +207,8 @@
         return address == m_options.peer_address ? std::string{} : address;
     }
 
+    bool expects_owners() const override { return !m_leaving || !m_view.others(true).empty(); }
+
     // ---- Peers ----
 
     pb::gossip on_exchange(const pb::gossip& message) override {
@@ -199,7 +217,11 @@
     }
 
     void on_jobs(const pb::job_calls& calls, std::function<void(pb::job_answers)> done) override {
-        m_router->answer_peer(calls, std::move(done));
+        ++m_peer_calls_in_hand;
+        m_router->answer_peer(calls, [this, done = std::move(done)](pb::job_answers answers) {
+            done(std::move(answers));
+            --m_peer_calls_in_hand;
+        });
     }
 
     void on_advise(const pb::advice_call& call, std::function<void(pb::advice_answer)> done) override {
@@ -214,6 +236,10 @@
 
     pb::take_reply on_take(const pb::take_request& request) override {
         pb::take_reply reply;
+        if (request.offer()) {
+            reply.set_taken(!m_leaving && !m_stopping && m_view.can_reach_table(now()));
+            return reply;
+        }
         const auto most_owned =
             request.has_most_owned() ? request.most_owned() : std::numeric_limits<int>::max();
         reply.set_taken(take(request.partition(), most_owned));
@@ -235,6 +261,7 @@
 
 private:
     using owned_map = std::map<int, std::shared_ptr<owned_partition>>;
+    using requests_by_node = std::map<std::pair<int, std::string>, instant>; ///< by partition and node
 
     pb::member make_self() const {
         pb::member self;
@@ -549,11 +576,55 @@
     /// Runs on its own thread, since it reads the table, which blocks.
     void ownership_loop() {
         while (sleep_unless_stopping(ownership_period)) {
-            if (!m_leaving)
+            if (m_leaving)
+                leaving_round(now());
+            else
                 ownership_round(now());
         }
     }
 
+    /// Of a node that leaves: hands its partitions over. A partition that no other node takes is kept, so
+    /// that its callers are served while other nodes leave too and are replaced.
+    void leaving_round(instant at) {
+        remove_closed();
+        if (publish_owned())
+            gossip_to_all();
+        request_takeovers(at);
+        update_relays();
+        for (const auto& [number, owned] : partitions()) {
+            if (owned->status() != partition_status::active || owned->is_table_failing())
+                continue;
+            const auto successor = m_view.find_successor_with_table(
+                at, number, recently_asked(at, number, m_offers, offer_backoff));
+            const bool taken = successor && offer(successor->member, number);
+            if (!taken) {
+                if (m_kept.insert(number).second)
+                    log_event(log_level::info, "partition_kept",
+                              {{"partition", std::to_string(number)},
+                               {"asked", successor ? successor->member.id() : std::string{}}});
+                continue;
+            }
+            log_event(log_level::info, "partition_handed_over",
+                      {{"partition", std::to_string(number)}, {"to", successor->member.id()}});
+            owned->release(release_wait);
+            ask_to_take(successor->member.peer_address(), number);
+        }
+    }
+
+    /// Asks a node whether it would take the partition; blocks.
+    bool offer(const pb::member& to, int number) {
+        m_offers[{number, to.id()}] = now();
+        pb::take_request request;
+        request.set_partition(number);
+        request.set_offer(true);
+        const auto answer = std::make_shared<std::promise<bool>>();
+        m_peers.take(to.peer_address(), request, take_timeout,
+                     [answer](peer_delivery delivery, const pb::take_reply& reply) {
+                         answer->set_value(delivery == peer_delivery::answered && reply.taken());
+                     });
+        return answer->get_future().get();
+    }
+
     void ownership_round(instant at) {
         remove_closed();
         if (publish_owned())
@@ -696,12 +767,8 @@
                 continue;
             m_next_takeover_request = at + takeover_request_period;
             // A node that was asked and hasn't taken the partition presumably can't reach the table either.
-            std::set<std::string> asked;
-            for (const auto& [whom, when] : m_takeover_requests) {
-                if (whom.first == number && at - when < takeover_request_backoff)
-                    asked.insert(whom.second);
-            }
-            const auto successor = m_view.find_successor_with_table(at, number, asked);
+            const auto successor = m_view.find_successor_with_table(
+                at, number, recently_asked(at, number, m_takeover_requests, takeover_request_backoff));
             if (!successor)
                 continue;
             const auto& member = successor->member;
@@ -714,6 +781,17 @@
         }
     }
 
+    /// Returns the nodes that were asked to take the partition a short time ago.
+    static std::set<std::string> recently_asked(instant at, int number, const requests_by_node& requests,
+                                                milliseconds backoff) {
+        std::set<std::string> asked;
+        for (const auto& [whom, when] : requests) {
+            if (whom.first == number && at - when < backoff)
+                asked.insert(whom.second);
+        }
+        return asked;
+    }
+
     void notify_successor(int number) {
         if (const auto successor = m_view.find_successor(now(), number))
             ask_to_take(successor->peer_address(), number);
@@ -791,7 +869,9 @@
     // Used by the ownership thread only.
     std::map<int, instant> m_next_take;
     instant m_next_takeover_request{};
-    std::map<std::pair<int, std::string>, instant> m_takeover_requests; ///< by partition and node
+    requests_by_node m_takeover_requests;
+    requests_by_node m_offers;
+    std::set<int> m_kept; ///< partitions that no other node took when this one left
     instant m_next_layout{};
     instant m_next_assignments_read{};
     int m_last_partition_read = 0; ///< partition whose rows were read last
@@ -801,6 +881,7 @@
     instant m_suggested_since{};
 
     std::atomic<bool> m_should_create_layout{false}; ///< this node should create the layout
+    std::atomic<int> m_peer_calls_in_hand{0};
     std::atomic<bool> m_joined{false};
     std::atomic<bool> m_leaving{false};
     std::atomic<bool> m_stopping{false};
@@ -816,8 +897,17 @@
 std::optional<std::string> cell_node::start() {
     return m_impl->start();
 }
-void cell_node::hand_over() {
-    m_impl->hand_over();
+void cell_node::leave() {
+    m_impl->leave();
+}
+void cell_node::give_up_calls() {
+    m_impl->give_up_calls();
+}
+void cell_node::release_partitions(milliseconds longest) {
+    m_impl->release_partitions(longest);
+}
+int cell_node::peer_calls_in_hand() const {
+    return m_impl->peer_calls_in_hand();
 }
 void cell_node::stop() {
     m_impl->stop();
--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -34,8 +34,13 @@
 
     /// Returns the peer address; nothing, with the reason, if it can't be bound.
     [[nodiscard]] std::optional<std::string> start();
-    /// Releases all partitions to their successors. Calls are still accepted and routed to the new owners.
-    void hand_over();
+    /// Leaves the cell: hands each partition over as soon as a node that stays takes it, and keeps it until
+    /// then. Calls are still accepted and routed.
+    void leave();
+    /// Answers all callers' calls that have no answer yet.
+    void give_up_calls();
+    /// Gives up the partitions that are left, for whoever comes next; waits at most `longest`.
+    void release_partitions(milliseconds longest);
     void stop();
 
     /// Returns the current configuration; null before it was first read.
@@ -45,6 +50,8 @@
     void call(pb::job_call call, job_callback done);
     /// Whether this node should receive callers' requests.
     [[nodiscard]] bool ready() const;
+    /// Number of calls from other nodes without an answer.
+    [[nodiscard]] int peer_calls_in_hand() const;
     [[nodiscard]] metrics& counters();
 
 private:
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -210,11 +210,12 @@
         locked([&](instant at) {
             if (m_guard.beat(boot))
                 require_confirmation("the process was paused");
-            if (!m_engine || m_status != partition_status::active)
+            if (!m_engine || m_status == partition_status::closed)
                 return;
-            m_engine->tick(at);
+            if (m_status == partition_status::active)
+                m_engine->tick(at);
             answer_expired_waiters(at);
-            if (at >= m_next_report) {
+            if (m_status == partition_status::active && at >= m_next_report) {
                 m_next_report = at + report_period;
                 report();
                 m_claim_checks = m_engine->claims().take_due_checks(at);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "medlarhub/reason.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <cpprest/http_listener.h>
 #include <nlohmann/json.hpp>
@@ -31,17 +32,21 @@
     return request;
 }
 
-void reply(const rest::http_request& request, const http_response& response) {
+/// Sends the response; the counter, if there is one, goes down once it is written out or can't be.
+void reply(const rest::http_request& request, const http_response& response,
+           const std::shared_ptr<std::atomic<int>>& in_hand = {}) {
     rest::http_response message(static_cast<rest::status_code>(response.status));
     message.set_body(response.body, response.content_type);
     for (const auto& [name, value] : response.headers)
         message.headers().add(name, value);
-    request.reply(message).then([](const pplx::task<void>& sent) {
+    request.reply(message).then([in_hand](const pplx::task<void>& sent) {
         try {
             sent.get();
         } catch (const std::exception&) {
             // The client disconnected; it can look up the outcome by its request id.
         }
+        if (in_hand)
+            --*in_hand;
     });
 }
 
@@ -54,6 +59,7 @@
         m_listener.support([this](const rest::http_request& request) { accept(request); });
     }
 
+    [[nodiscard]] int in_hand() const { return *m_in_hand; }
     void open() { m_listener.open().wait(); }
     void close() { m_listener.close().wait(); }
 
@@ -70,12 +76,15 @@
                 const auto& bytes = body.get();
                 auto translated = to_http_request(request);
                 translated.body.assign(bytes.begin(), bytes.end());
+                ++*m_in_hand;
                 if (translated.body.size() > static_cast<std::size_t>(m_max_body_bytes)) {
-                    reply(request, problem(413, "body too large", "the body exceeds the limit"));
+                    reply(request, problem(413, "body too large", "the body exceeds the limit"), m_in_hand);
                     return;
                 }
                 m_handler(std::move(translated),
-                          [request](const http_response& response) { reply(request, response); });
+                          [request, counter = m_in_hand](const http_response& response) {
+                              reply(request, response, counter);
+                          });
             } catch (const std::exception&) {
                 // The connection closed before the body was complete; the request is not handled.
             }
@@ -85,6 +94,8 @@
     rest::experimental::listener::http_listener m_listener;
     std::int64_t m_max_body_bytes;
     http_handler m_handler;
+    /// Shared with responses that are written out after the server was closed.
+    std::shared_ptr<std::atomic<int>> m_in_hand = std::make_shared<std::atomic<int>>(0);
 };
 
 http_server::http_server() = default;
@@ -104,6 +115,10 @@
     }
 }
 
+int http_server::in_hand() const {
+    return m_impl ? m_impl->in_hand() : 0;
+}
+
 void http_server::stop() {
     if (!m_impl)
         return;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -46,6 +46,8 @@
     [[nodiscard]] std::optional<std::string> start(const std::string& address, std::int64_t max_body_bytes,
                                                    http_handler handler);
     void stop();
+    /// Number of requests that were read whole and whose responses aren't written out yet.
+    [[nodiscard]] int in_hand() const;
 
 private:
     class impl;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include "callers/caller_api.h"
+#include "drain.h"
 #include "explain/explain_command.h"
 #include "http/server.h"
 #include "log.h"
@@ -21,6 +22,8 @@
 using namespace medlarhub;
 
 constexpr auto version = "0.1.0";
+/// How long a node that was told to stop waits for the requests in hand.
+constexpr milliseconds stop_limit{10'000};
 
 /// Blocks the termination signals in this thread and all threads started later.
 sigset_t block_signals() {
@@ -52,7 +55,11 @@
     }
     int received = 0;
     sigwait(&signals, &received);
-    served.shut_down();
+    served.leave();
+    run_drain({milliseconds{0}, stop_limit, stop_limit},
+              {[&] { return server.in_hand() + served.calls_in_flight(); },
+               [&] { callers.refuse_requests(); }, [] {}});
+    served.stop();
     server.stop();
     return exit_ok;
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,7 +21,6 @@
 constexpr milliseconds escrow_period{250};
 constexpr milliseconds reroute_delay{50};
 constexpr milliseconds default_retry_after{200};
-constexpr milliseconds shutdown_limit{10'000};
 /// Time that this node waits past the deadline for the owner's answer, which the owner may send as late as at
 /// the deadline.
 constexpr milliseconds forward_grace{200};
@@ -109,13 +108,13 @@
     }
 }
 
-void node::impl::shut_down() {
+void node::impl::leave() {
     log_event(log_level::info, "leaving");
     m_leaving = true;
     leave_cluster();
-    const auto limit = now() + shutdown_limit;
-    while (m_in_flight > 0 && now() < limit)
-        std::this_thread::sleep_for(10ms);
+}
+
+void node::impl::stop() {
     m_stopping = true;
     m_stop_changed.notify_all();
     for (auto& thread : m_threads)
@@ -437,8 +436,14 @@
 std::optional<std::string> node::start() {
     return m_impl->start();
 }
-void node::shut_down() {
-    m_impl->shut_down();
+void node::leave() {
+    m_impl->leave();
+}
+int node::calls_in_flight() const {
+    return m_impl->calls_in_flight();
+}
+void node::stop() {
+    m_impl->stop();
 }
 
 void node::run_direct(const caller_request& request, answer_callback done) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,8 +53,11 @@
     /// Starts listening for peers and joins the cluster. Returns an empty optional and sets the reason when
     /// the peer address can't be bound.
     [[nodiscard]] std::optional<std::string> start();
-    /// Leaves the cluster: releases its partitions, waits for the calls in flight, then stops.
-    void shut_down();
+    /// Leaves the cluster and releases its partitions. Calls are still taken and routed.
+    void leave();
+    /// Number of calls, from callers and other nodes, without an answer.
+    [[nodiscard]] int calls_in_flight() const;
+    void stop();
 
     // Calls from callers. `done` is called exactly once, at the deadline at the latest.
     void run_direct(const caller_request& request, answer_callback done);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -29,7 +29,9 @@
     impl& operator=(const impl&) = delete;
 
     std::optional<std::string> start();
-    void shut_down();
+    void leave();
+    void stop();
+    [[nodiscard]] int calls_in_flight() const { return static_cast<int>(m_in_flight.load()); }
 
     // node.cpp: calls from callers.
     enum class call_kind { run, submit, ask, cancel };
--- a/test/call_router_test.cpp
+++ b/test/call_router_test.cpp
@@ -52,6 +52,100 @@
 
 } // namespace
 
+namespace {
+
+/// What became of one call: its outcome, once it is answered.
+struct one_call {
+    std::optional<pb::job_answer::outcome> result;
+    int answers = 0;
+
+    job_callback callback() {
+        return [this](const pb::job_answer& each) {
+            result = each.result();
+            ++answers;
+        };
+    }
+};
+
+pb::job_call call_of(pb::job_call::kind what, milliseconds timeout = 3000ms) {
+    pb::job_call call;
+    call.set_what(what);
+    call.set_timeout_ms(timeout.count());
+    return call;
+}
+
+/// A cell without any owner.
+class no_owner final : public owner_lookup {
+public:
+    explicit no_owner(bool expects) : m_expects{expects} {}
+    std::shared_ptr<owned_partition> local_partition(int /*number*/) const override { return {}; }
+    std::string remote_owner(int /*number*/) const override { return {}; }
+    bool expects_owners() const override { return m_expects; }
+
+private:
+    bool m_expects;
+};
+
+/// Keeps what is sent, without an answer.
+struct silent_peer {
+    std::vector<peer_callback<pb::job_answers>> open;
+
+    call_batcher::sender sender() {
+        return [this](const std::string&, const pb::job_calls&, milliseconds,
+                      peer_callback<pb::job_answers> done) { open.push_back(std::move(done)); };
+    }
+};
+
+} // namespace
+
+// Guards against a process that ends with calls that wait for an owner, or for its answer.
+TEST_CASE("a router that gives up answers each open call once, with what is true of it", "[routing][drain]") {
+    metrics counters;
+    silent_peer peer;
+    SECTION("without an owner") {
+        const no_owner owners{true};
+        const auto router = std::make_shared<call_router>(owners, peer.sender(), counters);
+        one_call submitted;
+        one_call asked;
+        one_call later;
+        router->call(call_of(pb::job_call::submit), submitted.callback());
+        router->call(call_of(pb::job_call::state), asked.callback());
+        CHECK(!submitted.result);
+        router->give_up_all();
+        CHECK(submitted.result == pb::job_answer::not_run);
+        CHECK(asked.result == pb::job_answer::unknown);
+        router->call(call_of(pb::job_call::submit), later.callback());
+        CHECK(later.result == pb::job_answer::not_run);
+        router->tick(now() + 10s);
+        CHECK(submitted.answers == 1);
+    }
+    SECTION("with an owner that is silent") {
+        const owned_elsewhere owners;
+        const auto router = std::make_shared<call_router>(owners, peer.sender(), counters);
+        one_call submitted;
+        router->call(call_of(pb::job_call::submit), submitted.callback());
+        REQUIRE(peer.open.size() == 1);
+        router->give_up_all();
+        CHECK(submitted.result == pb::job_answer::unknown);
+        peer.open.front()(peer_delivery::lost, {});
+        router->tick(now() + 10s);
+        CHECK(submitted.answers == 1);
+    }
+}
+
+TEST_CASE("a call is refused at once if no node that stays can become the owner", "[routing][drain]") {
+    const bool expects = GENERATE(false, true);
+    const no_owner owners{expects};
+    metrics counters;
+    silent_peer peer;
+    const auto router = std::make_shared<call_router>(owners, peer.sender(), counters);
+    one_call submitted;
+    router->call(call_of(pb::job_call::submit), submitted.callback());
+    CHECK(submitted.answers == (expects ? 0 : 1));
+    router->give_up_all();
+    CHECK(submitted.result == pb::job_answer::not_run);
+}
+
 TEST_CASE("pending jobs are summed over all partitions, and there is no sum if one fails", "[routing]") {
     const auto some = answer(pb::job_answer::ok, pb::job_answer::none, 4);
     const auto more = answer(pb::job_answer::ok, pb::job_answer::none, 7);
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -196,6 +196,24 @@
 
 // Guards against tasks that run twice because an owner that is cut off goes on while a successor takes over:
 // no report of other nodes, and no silence, shows that there is none.
+// Guards against callers who wait without end for a partition that is given up while the table is silent.
+TEST_CASE("callers of a partition that is given up are answered by their deadline", "[ownership][drain]") {
+    partition_under_test world;
+    world.rows.hold(true);
+    auto call = submission("waiting");
+    call.set_timeout_ms(200);
+    auto answer = world.call(call);
+    world.rows.await_held();
+    world.owned->release(0ms);
+    while (answer.wait_for(0ms) != std::future_status::ready) {
+        REQUIRE(world.owned->status() == partition_status::releasing);
+        world.owned->tick();
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK(answer.get().result() == pb::job_answer::unknown);
+    world.rows.hold(false);
+}
+
 TEST_CASE("an owner whose ownership isn't confirmed stops commanding targets until it is",
           "[ownership][recovery]") {
     partition_under_test partition;
