Ask a node before a partition is moved to it

Callers could see: a partition that is moved to a better owner was released first; a node that leaves, or can't reach the table, declined it, and the partition had no owner until another one took it.

Change: the move asks first, as a node that leaves does. `find_successor`, which nothing uses any more, is gone; its check in cell_view_test uses the function that is used.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -611,7 +611,8 @@
         }
     }
 
-    /// Asks a node whether it would take the partition; blocks.
+    /// Asks a node whether it would take the partition, since it may leave too or not reach the table;
+    /// blocks.
     bool offer(const pb::member& to, int number) {
         m_offers[{number, to.id()}] = now();
         pb::take_request request;
@@ -664,11 +665,14 @@
         if (at - m_suggested_since < move_after)
             return;
         m_suggested_move.reset();
+        const auto to = m_view.node(move->node);
+        const auto owned = local_partition(move->partition);
+        if (!to || !owned || !offer(*to, move->partition))
+            return;
         log_event(log_level::info, "partition_moves",
                   {{"partition", std::to_string(move->partition)}, {"to", move->node}});
-        if (const auto owned = local_partition(move->partition))
-            owned->release(release_wait);
-        notify_successor(move->partition);
+        owned->release(release_wait);
+        ask_to_take(to->peer_address(), move->partition);
     }
 
     void take_if_ownerless(int number) {
@@ -792,11 +796,6 @@
         return asked;
     }
 
-    void notify_successor(int number) {
-        if (const auto successor = m_view.find_successor(now(), number))
-            ask_to_take(successor->peer_address(), number);
-    }
-
     void ask_to_take(const std::string& address, int number, std::optional<int> most_owned = {}) {
         pb::take_request request;
         request.set_partition(number);
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -261,12 +261,6 @@
     return at - seen.at >= head_unchanged_period;
 }
 
-std::optional<pb::member> cell_view::find_successor(instant at, int partition) {
-    const std::lock_guard lock{m_mutex};
-    const auto successor = successor_of(partition, candidates(at), m_node);
-    return successor == m_node ? std::nullopt : m_members.find(successor);
-}
-
 std::optional<cell_view::successor_load>
 cell_view::find_successor_with_table(instant at, int partition, const std::set<std::string>& asked) {
     const std::lock_guard lock{m_mutex};
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -98,14 +98,12 @@
     /// unless the partition was released or its owner is an earlier incarnation of this node.
     bool may_take(instant at, int partition, const owner_view& owner, std::uint64_t sequence);
 
-    /// Returns the node that succeeds this one as the owner; nothing if there is no other.
-    [[nodiscard]] std::optional<pb::member> find_successor(instant at, int partition);
     struct successor_load {
         pb::member member;
         int owned = 0; ///< known number of partitions that it owns
     };
-    /// Returns the successor among the nodes that can reach the table and aren't in `asked`, the nodes that
-    /// were already asked to take the partition over.
+    /// Returns the node that succeeds this one as the owner, among those that can reach the table and aren't
+    /// in `asked`, the nodes that were already asked to take the partition over.
     [[nodiscard]] std::optional<successor_load> find_successor_with_table(instant at, int partition,
                                                                           const std::set<std::string>& asked);
 
--- a/test/cell_view_test.cpp
+++ b/test/cell_view_test.cpp
@@ -130,8 +130,8 @@
     CHECK(with.view.partitions_to_take(with.at, {}, false).empty());
     // One of the two nodes should take it.
     const bool mine = !with.view.partitions_to_take(with.at, {}, true).empty();
-    const auto successor = with.view.find_successor(with.at, 0);
-    CHECK((mine || (successor && successor->id() == "other")));
+    const auto successor = with.view.find_successor_with_table(with.at, 0, {});
+    CHECK((mine || (successor && successor->member.id() == "other")));
     with.view.learn_owner(0, {owner_of("other"), "other:1", 1});
     CHECK(with.view.partitions_to_take(with.at, {}, true).empty());
 }
--- a/test/leave_cell_test.cpp
+++ b/test/leave_cell_test.cpp
@@ -30,6 +30,8 @@
 class silent_table final : public table {
 public:
     explicit silent_table(standin::memory_table& rows) : m_rows{rows} {}
+    silent_table(const silent_table&) = delete;
+    silent_table& operator=(const silent_table&) = delete;
     ~silent_table() override { set_silent(false); }
 
     write_result transact(const std::vector<table_write>& writes) override {
@@ -163,6 +165,8 @@
                                  api->handle(request, respond);
                              }));
     }
+    lone_node(const lone_node&) = delete;
+    lone_node& operator=(const lone_node&) = delete;
     ~lone_node() {
         table_port->set_silent(false);
         server.stop();
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -205,13 +205,16 @@
     auto answer = world.call(call);
     world.rows.await_held();
     world.owned->release(0ms);
-    while (answer.wait_for(0ms) != std::future_status::ready) {
-        REQUIRE(world.owned->status() == partition_status::releasing);
+    const auto by = now() + 20s;
+    while (answer.wait_for(0ms) != std::future_status::ready && now() < by) {
         world.owned->tick();
         std::this_thread::sleep_for(1ms);
     }
-    CHECK(answer.get().result() == pb::job_answer::unknown);
+    const bool answered = answer.wait_for(0ms) == std::future_status::ready;
+    CHECK(world.owned->status() == partition_status::releasing);
     world.rows.hold(false);
+    REQUIRE(answered);
+    CHECK(answer.get().result() == pb::job_answer::unknown);
 }
 
 TEST_CASE("an owner whose ownership isn't confirmed stops commanding targets until it is",
--- a/test/submission_test.cpp
+++ b/test/submission_test.cpp
@@ -69,6 +69,8 @@
         for (int number = 0; number < partitions; ++number)
             take(number);
     }
+    divided_cell(const divided_cell&) = delete;
+    divided_cell& operator=(const divided_cell&) = delete;
     ~divided_cell() override {
         for (const auto& [number, owned] : m_owned)
             owned->join();
