--- a/src/callers/caller_api.h
+++ b/src/callers/caller_api.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "http/server.h"
-
 #include "node/node.h"
+
 #include <atomic>
 
 namespace medlarhub {
