--- a/test/leave_cell_test.cpp
+++ b/test/leave_cell_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/job_api.h"
 
 #include "standin/memory_platform.h"
+#include "standin/unreachable_targets.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -103,18 +104,6 @@
     }
 };
 
-class no_targets final : public target_port {
-public:
-    void send(const start_stop_command& /*command*/, milliseconds /*timeout*/,
-              std::function<void(command_reply)> done) override {
-        done({command_outcome::not_sent, {}});
-    }
-    void poll(const target_poll_command& /*command*/, milliseconds /*timeout*/,
-              std::function<void(poll_result)> done) override {
-        done({});
-    }
-};
-
 class no_advice final : public advice_port {
 public:
     void ask(const std::string& /*step*/, const std::vector<std::string>& /*targets*/,
@@ -150,7 +139,7 @@
         ports.rows = std::move(rows);
         ports.declared = std::make_unique<one_configuration>();
         ports.targets = std::make_unique<one_target>();
-        ports.commands = std::make_unique<no_targets>();
+        ports.commands = std::make_unique<standin::unreachable_targets>();
         ports.advice = std::make_unique<no_advice>();
         node = std::make_unique<cell_node>(options, std::move(ports));
         api = std::make_unique<platform::job_api>(*node);
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -4,6 +4,7 @@
 #include "cell/partition_rows.h"
 
 #include "standin/memory_platform.h"
+#include "standin/unreachable_targets.h"
 
 #include <catch2/catch.hpp>
 
@@ -62,22 +63,6 @@
     int m_waiting = 0;
 };
 
-/// Targets that can't be reached; counts the polls sent to them.
-class no_targets final : public target_port {
-public:
-    std::atomic<int> polls{0};
-
-    void send(const start_stop_command& /*command*/, milliseconds /*timeout*/,
-              std::function<void(command_reply)> done) override {
-        done({command_outcome::not_sent, {}});
-    }
-    void poll(const target_poll_command& /*command*/, milliseconds /*timeout*/,
-              std::function<void(poll_result)> done) override {
-        ++polls;
-        done({});
-    }
-};
-
 declarations one_queue() {
     auto config = std::make_shared<cell_config>();
     config->version = 1;
@@ -141,7 +126,7 @@
     held_table rows;
 
 private:
-    no_targets m_targets;
+    standin::unreachable_targets m_targets;
     metrics m_counters;
 
 public:
--- a/test/submission_test.cpp
+++ b/test/submission_test.cpp
@@ -2,6 +2,7 @@
 #include "cell/submission.h"
 
 #include "standin/memory_platform.h"
+#include "standin/unreachable_targets.h"
 
 #include "medlarhub/hash.h"
 
@@ -20,18 +21,6 @@
 constexpr auto host = "orders.example";
 constexpr auto key = "k-1";
 
-class no_targets final : public target_port {
-public:
-    void send(const start_stop_command& /*command*/, milliseconds /*timeout*/,
-              std::function<void(command_reply)> done) override {
-        done({command_outcome::not_sent, {}});
-    }
-    void poll(const target_poll_command& /*command*/, milliseconds /*timeout*/,
-              std::function<void(poll_result)> done) override {
-        done({});
-    }
-};
-
 /// Configuration of one queue in which `team`, if it isn't empty, has the key.
 struct key_state {
     std::string team;
@@ -167,7 +156,7 @@
     standin::memory_table rows;
 
 private:
-    no_targets m_targets;
+    standin::unreachable_targets m_targets;
     metrics m_counters;
     cell_layout m_layout;
     int m_owners = 0;
