Log the calls that a target's restart leaves open

Now `target_restarted` tells how many starts and stops have no answer and when the last deadline was sent, `earlier_command_answered` tells of an answer to a command of before, with its age and the target's clock, and `target_lease_over` what was granted and by which clock.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -280,6 +280,9 @@
 
     // engine_targets.cpp and engine_ends.cpp: runs at targets.
     void release(target_state& target, const live_run& run);
+    static void note_sent(instant at, target_state& target, start_stop_command& command);
+    void note_answer(instant at, target_state& target, const start_stop_command& command,
+                     const command_reply& reply);
     void note_outcome(const target_state& target, std::uint64_t fence, command_outcome outcome);
     void drop_run(instant at, target_state& target, const std::string& task, std::string_view why);
     /// Drops the runs whose lease has expired at a target that can't be asked.
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -20,7 +20,11 @@
 std::string describe_restart(instant at, const target_state& target, std::int64_t born_ms) {
     return "born " + std::to_string(born_ms) + " after " + std::to_string(target.listed_born_ms) +
            ", lists of " + std::to_string((at - target.last_answer).count()) + " ms ago, " +
-           std::to_string(target.runs.size()) + " runs";
+           std::to_string(target.runs.size()) + " runs, " + std::to_string(target.commands_out) +
+           " commands without an answer, " +
+           (target.last_grant == instant{}
+                ? std::string{"no deadline sent"}
+                : "the last deadline sent " + std::to_string((at - target.last_grant).count()) + " ms ago");
 }
 
 bool add_if_absent(std::vector<int>& numbers, int number) {
@@ -72,6 +76,11 @@
         if (all || run.incarnation != 0)
             texts.push_back(text);
     }
+    if (!texts.empty())
+        add_event("target_lease_over", {},
+                  target.entry.id + ": " + std::to_string(target.granted_ms - target.clock_ms) +
+                      " ms were granted by its clock of " + std::to_string((at - target.clock_read).count()) +
+                      " ms ago, " + std::to_string(texts.size()) + " runs");
     for (const auto& text : texts)
         drop_run(at, target, text, "its lease expired");
     target.orphans.clear();
@@ -219,6 +228,7 @@
 void job_engine::handle_restart(instant at, target_state& target, const poll_result& result) {
     add_event("target_restarted", {}, target.entry.id + ": " + describe_restart(at, target, result.born_ms));
     ++target.incarnation;
+    target.restart_seen = at;
     note_longest_lease(at);
     target.listed_born_ms = result.born_ms;
     for (auto& [text, run] : target.runs)
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -28,6 +28,9 @@
     task_name task;
     int run = 0;
     std::uint64_t fence = 0;
+    // Not sent; they tell the owner how old the answer is:
+    instant sent{};
+    std::uint64_t incarnation = 0; ///< of the target whose lists were read last when it was sent
     // Only for starts:
     std::string body;
     std::string saved;
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -20,6 +20,10 @@
 constexpr milliseconds no_capacity_delay{100};
 constexpr milliseconds malformed_delay{1000};
 
+std::string ms_between(instant from, instant to) {
+    return std::to_string((to - from).count());
+}
+
 } // namespace
 
 std::string_view name_of(command_outcome outcome) {
@@ -129,6 +133,7 @@
         command.task = run.task;
         command.run = run.number;
         command.fence = target.fence(m_options.epoch);
+        note_sent(at, target, command);
         command.body = m_jobs.at(run.task.job).spec.body();
         command.saved = run.saved_state;
         command.ticket = start.ticket;
@@ -140,7 +145,7 @@
     if (!m_stop_may_be_due)
         return commands;
     m_stop_may_be_due = false;
-    const auto make_stop = [&](const target_state& target, const task_name& task, int number) {
+    const auto make_stop = [&](target_state& target, const task_name& task, int number) {
         start_stop_command command;
         command.kind = command_kind::stop;
         command.target = target.entry.id;
@@ -148,6 +153,7 @@
         command.task = task;
         command.run = number;
         command.fence = target.fence(m_options.epoch);
+        note_sent(at, target, command);
         commands.push_back(std::move(command));
     };
     for (auto& [id, target] : m_targets) {
@@ -173,6 +179,7 @@
     const auto found = m_targets.find(command.target);
     if (found == m_targets.end())
         return;
+    note_answer(at, found->second, command, reply);
     note_outcome(found->second, command.fence, reply.outcome);
     if (command.kind == command_kind::start)
         start_answered(at, found->second, command, reply);
@@ -181,6 +188,27 @@
     schedule(at);
 }
 
+void job_engine::note_sent(instant at, target_state& target, start_stop_command& command) {
+    command.sent = at;
+    command.incarnation = target.incarnation;
+    ++target.commands_out;
+}
+
+void job_engine::note_answer(instant at, target_state& target, const start_stop_command& command,
+                             const command_reply& reply) {
+    if (target.commands_out > 0) // unless the target was removed meanwhile
+        --target.commands_out;
+    if (command.incarnation >= target.incarnation || command.sent == instant{})
+        return;
+    // It was meant for an earlier incarnation; which one carried it out isn't told.
+    add_event("earlier_command_answered", command.task.job,
+              command.target + " " + (command.kind == command_kind::start ? "start " : "stop ") +
+                  command.task.to_string() + " run " + std::to_string(command.run) + ": " +
+                  std::string{name_of(reply.outcome)} + ", sent " + ms_between(command.sent, at) +
+                  " ms ago, before the restart that was seen " + ms_between(target.restart_seen, at) +
+                  " ms ago, clock " + std::to_string(reply.clock_ms.value_or(0)));
+}
+
 void job_engine::note_outcome(const target_state& target, std::uint64_t fence, command_outcome outcome) {
     // A fenced command of an earlier target assignment, or of one that is ending, doesn't mean that this
     // owner was replaced.
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -82,6 +82,8 @@
     std::int64_t reported_born_ms = 0; ///< the latest start that its entry told of
     /// Number of the first poll whose answer tells whether the restart that its entry told of has happened.
     std::uint64_t settled_by = 0;
+    instant restart_seen{};     ///< when the first lists of a later incarnation were read
+    int commands_out = 0;       ///< starts and stops without an answer yet
     bool in_roster = false;     ///< it is in the written roster, so that a later owner looks for runs there
     bool contacted = false;     ///< it has answered this owner, so its runs are known
     bool listed_all = false;    ///< it has given this owner a complete list of its runs and ends
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -270,11 +270,13 @@
         violate("a task runs at two targets: " + task);
 }
 
-void job_world::carry_out_late(instant due, const start_stop_command& command) {
-    const auto incarnation = m_fleet->targets.at(command.target).entry().born_ms;
-    m_messages.emplace(due, [this, command, incarnation] {
-        if (m_fleet->targets.at(command.target).entry().born_ms == incarnation)
-            carry_out(command);
+void job_world::carry_out_late(instant due, const std::string& target,
+                               const std::function<void()>& carry_out) {
+    const auto incarnation = m_fleet->targets.at(target).entry().born_ms;
+    m_messages.emplace(due, [this, target, carry_out, incarnation] {
+        const bool restarted = m_fleet->targets.at(target).entry().born_ms != incarnation;
+        if (!restarted || (m_options.outlive_restarts && reachable(target)))
+            carry_out();
     });
 }
 
@@ -291,7 +293,7 @@
         const bool carried = m_late > 0ms || m_random() % 2 == 0;
         const auto late = m_late > 0ms ? m_late : milliseconds{2000 + static_cast<int>(m_random() % 10'000)};
         if (carried)
-            carry_out_late(m_at + late, command);
+            carry_out_late(m_at + late, command.target, [this, command] { carry_out(command); });
         return;
     }
     m_messages.emplace(m_at + delay(), [this, owner, command, command_timeout, answer] {
@@ -330,9 +332,21 @@
         --m_polls_to_lose;
         return answer(poll_result{}, 2000ms);
     }
-    m_messages.emplace(m_at + delay(), [this, command, answer] {
-        if (!reachable(command.target) || is_message_lost())
+    const auto carry_out = [this, command] {
+        (void)m_fleet->targets.at(command.target).poll(m_at, command);
+        record_acknowledged_ends();
+    };
+    if (m_late_polls > 0ms) {
+        carry_out_late(m_at + m_late_polls, command.target, carry_out);
+        return answer(poll_result{}, poll_timeout);
+    }
+    m_messages.emplace(m_at + delay(), [this, command, answer, carry_out] {
+        if (!reachable(command.target) || is_message_lost()) {
+            if (m_options.outlive_restarts && m_random() % 2 == 0)
+                carry_out_late(m_at + milliseconds{100 + static_cast<int>(m_random() % 5000)}, command.target,
+                               carry_out);
             return answer(poll_result{}, poll_timeout);
+        }
         const auto result = m_fleet->targets.at(command.target).poll(m_at, command);
         record_acknowledged_ends();
         if (is_message_lost())
@@ -447,6 +461,7 @@
     m_writes_resume = {};
     m_unresponsive_until.clear();
     m_late = 0ms;
+    m_late_polls = 0ms;
     run_for(time);
 }
 
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -40,6 +40,8 @@
         milliseconds tick{20};
         milliseconds delay{5}; ///< of a message without faults
         bool restarts = false; ///< targets restart under their ids, and their entries tell of it late
+        /// Commands and polls that are late reach a target that has restarted meanwhile, unless it is silent.
+        bool outlive_restarts = false;
     };
 
     job_world(options given, std::uint64_t seed);
@@ -62,6 +64,8 @@
     void fail_next(const std::string& task) { m_failing.insert(task); }
     /// Commands sent from now on are carried out this much later and get no response.
     void delay_commands(milliseconds late) { m_late = late; }
+    /// The same for polls.
+    void delay_polls(milliseconds late) { m_late_polls = late; }
     /// While set, no write completes.
     void hold_writes(bool hold) { m_writes_held = hold; }
     /// While set, advice requests get no answer.
@@ -113,8 +117,8 @@
     void send(const start_stop_command& command);
     void poll(const target_poll_command& command);
     void carry_out(const start_stop_command& command);
-    /// Carries it out at a time, unless the target has restarted by then.
-    void carry_out_late(instant due, const start_stop_command& command);
+    /// Carries it out at a time, if the target may get it then.
+    void carry_out_late(instant due, const std::string& target, const std::function<void()>& carry_out);
     void record_acknowledged_ends();
     void check_completed();
     void violate(const std::string& what);
@@ -142,6 +146,7 @@
     std::set<std::string> m_failing; ///< tasks whose next run fails
     std::multimap<instant, std::function<void()>> m_messages;
     milliseconds m_late{0};
+    milliseconds m_late_polls{0};
     bool m_faulty = false;
     int m_polls_to_lose = 0;
     bool m_writes_held = false;
