Failing tests: calls for a target's former life act on its new one

In the simulated world commands and polls that are held up now reach whichever incarnation answers, as on the users' targets:

- a poll with an acknowledgement, 0.3 to 0.9 s late: "a start after its end was acknowledged";

--- a/test/engine_former_life_test.cpp
+++ b/test/engine_former_life_test.cpp
@@ -30,6 +30,8 @@
     std::string open;
 };
 
+enum class late_call { start, start_again, poll, stop };
+
 } // namespace
 
 // Guards against a log that doesn't tell which calls were still out when a target restarted, nor by what a
@@ -57,3 +59,137 @@
           std::string::npos);
     CHECK(first["target_lease_over"].find(pair.open + ": ") == 0);
 }
+
+// Guards against a lease that lasts longer than its owner knows: a call for the former life has a deadline
+// that is far ahead on the clock of the new one.
+TEST_CASE("a call for a target's former life that comes late doesn't make a task run twice",
+          "[engine][restarts][former-life][!shouldfail]") {
+    struct row {
+        const char* name;
+        late_call what;
+    };
+    const auto given =
+        GENERATE(row{"a start", late_call::start}, row{"a start that was stopped", late_call::stop},
+                 row{"a poll", late_call::poll}, row{"a start that is sent again", late_call::start_again});
+    const auto late = GENERATE(200ms, 600ms, 1000ms, 2000ms, 4000ms);
+    INFO(given.name << ", " << late.count() << " ms late");
+    pair_of_targets pair{60s};
+    auto& world = pair.world;
+    if (given.what == late_call::poll) {
+        pair.submit("early");
+        world.run_for(200ms);
+        world.delay_polls(late);
+        world.run_for(100ms);
+        world.delay_polls(0ms);
+    } else {
+        world.delay_commands(late);
+        pair.submit("late");
+        world.run_for(given.what == late_call::start_again ? 560ms : 60ms);
+        world.delay_commands(0ms);
+    }
+    world.restart(pair.open);
+    world.read_entries();
+    if (given.what == late_call::stop)
+        world.cancel("late");
+    world.run_for(100ms);
+    pair.submit("j");
+    world.run_for(late - 80ms);
+    REQUIRE(world.target(pair.open).running().contains("j.0.0.0"));
+    world.run_for(20ms);
+    pair.cut_off();
+    world.run_for(12s);
+    INFO(world.violation());
+    CHECK(world.violation().empty());
+    CHECK(world.target(pair.full).running().contains("j.0.0.0"));
+}
+
+// Guards against an end that nobody has read, and that an acknowledgement for the former life forgets.
+TEST_CASE("an acknowledgement for a target's former life that comes late forgets no end of the new one",
+          "[engine][restarts][former-life][!shouldfail]") {
+    for (auto late = 300ms; late <= 900ms; late += 20ms) {
+        INFO(late.count() << " ms late");
+        job_world world{{.targets = 1, .work = 300ms, .faults = false, .outlive_restarts = true}, 52};
+        world.run_for(20s);
+        for (const auto* job : {"a", "b", "c"})
+            world.submit(simple_job(job, {simple_step(1, 1000)}));
+        world.run_for(2s);
+        world.submit(simple_job("d", {simple_step(1, 1000)}));
+        world.run_for(100ms);
+        world.delay_polls(late);
+        world.run_for(100ms);
+        world.delay_polls(0ms);
+        world.restart("t0");
+        world.read_entries();
+        world.submit(simple_job("j", {simple_step(1, 1000)}));
+        world.run_for(20s);
+        INFO(world.violation());
+        REQUIRE(world.violation().empty());
+        REQUIRE(world.open().empty());
+    }
+}
+
+// Guards against a lease that counts from the first lists of the new life though a call for the former one
+// may still be carried out.
+TEST_CASE("a target that falls silent before it refuses calls for its former life keeps its runs longer",
+          "[engine][restarts][former-life][!shouldfail]") {
+    constexpr auto longest_call = 2s;
+    constexpr auto longest_lease = 6s;
+    const instant start{std::chrono::hours{1000}};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    job_engine engine{{}};
+    engine.set_config(config);
+    engine.restore({}, {});
+    engine.set_targets(start, {standin::job_target{"t0", {4000, 64'000, 0}, start - 100s}.entry()});
+    const auto restarted = start + 2s;
+    instant last_deadline{};
+    instant dropped{};
+    bool lists_read = false; // the first of the new life; no later ones are
+    for (auto at = start; at < start + 20s; at += 20ms) {
+        if (at == start + 1s)
+            (void)engine.accept(at, simple_job("j", {simple_step(1, 1000)}));
+        const auto born = at < restarted ? start - 100s : restarted;
+        for (const auto& poll : engine.take_polls(at)) {
+            if (at < restarted && poll.deadline_ms)
+                last_deadline = at;
+            poll_result lists;
+            lists.clock_ms = (at - born).count();
+            lists.born_ms = to_ms(born);
+            lists.complete = true;
+            if (at > start + 1s)
+                lists.running = {{"j.0.0.0", 1, {}, 1.0}};
+            const bool is_answered = at < restarted || !std::exchange(lists_read, true);
+            lists.outcome = is_answered ? command_outcome::done : command_outcome::lost;
+            engine.handle_poll_result(at, at, poll, lists);
+        }
+        engine.tick(at);
+        while (engine.write_due(at)) {
+            (void)engine.take_rows(at);
+            engine.rows_written(at);
+        }
+        for (const auto& command : engine.take_commands(at))
+            engine.handle_command_result(at, command, {command_outcome::done, (at - born).count()});
+        for (const auto& event : engine.take_events()) {
+            if (event.what == "run_dropped" && dropped == instant{})
+                dropped = at;
+        }
+    }
+    REQUIRE(last_deadline > start + 1s);
+    CHECK(dropped >= last_deadline + longest_call + longest_lease);
+}
+
+TEST_CASE("promises hold over random orders of faults with calls that outlive restarts",
+          "[engine][restarts][former-life][faults][!shouldfail]") {
+    constexpr int worlds = 300;
+    constexpr int faults = 60;
+    for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
+        INFO("seed " << seed);
+        job_world world{{.restarts = true, .outlive_restarts = true}, seed};
+        for (int i = 0; i < faults && world.violation().empty(); ++i)
+            world.fault();
+        world.stop_faults(60s);
+        INFO(world.violation());
+        REQUIRE(world.violation().empty());
+        REQUIRE(world.open().empty());
+    }
+}
