Let a target refuse commands that were sent to its earlier incarnation

Cause: a target's id outlives its incarnations, and the fence, the only thing in a command that a target compares and that we choose, changed with the owner and the assignment, not with the incarnation. So a start or poll that was still on its way when a target restarted (a connection that was tried again after a second, a second send of the HTTP library, a relay) acted on the new incarnation: its deadline, on the earlier clock, gave the longest lease, after the owner had begun to count it from the first lists. Its acknowledgement forgot ends that nobody had read.

Change: an owner raises the fence of a target that falls silent or restarts; the first answer to the higher fence proves that the incarnation refuses all commands from before. Until then nothing is placed there, absence from its lists proves nothing, polls carry no acknowledgement, and a lease counts from the last such answer, or, without one, from the last deadline sent, 2.5 s (the longest timeout of a call and what a relay adds) and the longest lease. A new owner counts the longest lease from its first answer, as the command before may have been meant for another incarnation. Fences stay in order for owners of this release and the one before: an owner takes 16 epochs with its head row instead of one, and more with later writes; the row names the last one, above which any successor starts.

Tried: a fence by bits below the epoch (an owner of the release before would be refused for good); raising it at each poll of a silent target (some 30 epochs per outage).

--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -213,9 +213,10 @@
     const std::lock_guard lock{m_mutex};
     m_owns_any = !own.empty();
     for (const auto& [number, epoch] : own) {
-        const auto known = m_owners[number].epoch;
-        changes.gained = changes.gained || known < epoch;
-        if (known > epoch)
+        const auto& known = m_owners[number];
+        changes.gained = changes.gained || known.epoch < epoch;
+        // A later epoch of this node is one that others read in the head row first.
+        if (known.epoch > epoch && known.owner != m_owner_name)
             changes.lost.push_back(number);
         replace_owner(number, {m_owner_name, m_members.self().peer_address(), epoch});
     }
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -687,6 +687,7 @@
         engine_options options;
         options.partition = m_options.number;
         options.epoch = *epoch;
+        options.last_epoch = m_rows.last_epoch();
         options.lease = lease_to_request(m_options.longest_lease);
         options.earlier_lease = m_rows.earlier_lease();
         options.longest_lease = m_options.longest_lease;
@@ -705,7 +706,7 @@
             (void)m_assignments.learn(*assignments);
             m_engine->restore_roster(at, content->roster);
             update_engine_targets(at);
-            m_epoch = *epoch;
+            m_epoch = m_rows.last_epoch();
             m_confirmed = boot_time();
             m_guard.beat(m_confirmed);
             m_status = partition_status::active;
@@ -730,6 +731,7 @@
             m_rows.set_lease(m_engine->longest_granted(now()));
             if (m_engine->runs_known())
                 m_rows.forget_earlier_lease();
+            m_rows.set_wanted_epoch(m_engine->wanted_epoch());
         }
         std::vector<target_transfer> transfers;
         for (;;) {
@@ -746,6 +748,8 @@
                     if (m_failing_since != instant{})
                         log_event(log_level::info, "table_back", {});
                     m_failing_since = {};
+                    m_epoch = m_rows.last_epoch();
+                    m_engine->set_last_epoch(m_epoch);
                     m_engine->rows_written(at);
                     answer_durable_waiters();
                     transfers = m_engine->take_completed_transfers();
--- a/src/cell/partition_rows.cpp
+++ b/src/cell/partition_rows.cpp
@@ -138,10 +138,11 @@
         m_head.owner().empty() || (m_head.owner() != m_owner && node_of(m_head.owner()) == node_of(m_owner));
     next.set_owner(m_owner);
     next.set_peer_address(m_peer_address);
-    next.set_epoch(m_head.epoch() + 1);
+    const auto first = m_head.epoch() + 1;
+    next.set_epoch(m_head.epoch() + epochs_at_once);
     switch (commit(next, {})) {
     case row_outcome::written:
-        return m_head.epoch();
+        return first;
     case row_outcome::ownership_lost:
         return fail("another node took the partition first");
     case row_outcome::unavailable:
@@ -153,6 +154,7 @@
 row_outcome partition_rows::commit(const pb::partition_head& from, std::vector<table_write> writes) {
     auto next = from;
     next.set_sequence(m_head.sequence() + 1);
+    next.set_epoch(std::max(next.epoch(), m_wanted_epoch));
     next.set_lease_ms(std::max(m_lease, m_earlier_lease).count());
     table_write head{key(head_kind, head_name), next.SerializeAsString(),
                      m_version == 0 ? write_condition::absent : write_condition::version, m_version, false};
@@ -229,8 +231,9 @@
     std::int64_t version = 0;
     if (!read_head(seen, version))
         return row_outcome::unavailable;
-    const bool same = seen.owner() == m_head.owner() && seen.epoch() == m_head.epoch();
-    return same ? row_outcome::written : row_outcome::ownership_lost;
+    const bool is_own_epoch = seen.epoch() == m_head.epoch() || seen.epoch() == m_wanted_epoch;
+    return seen.owner() == m_head.owner() && is_own_epoch ? row_outcome::written
+                                                          : row_outcome::ownership_lost;
 }
 
 row_outcome partition_rows::release() {
--- a/src/cell/partition_rows.h
+++ b/src/cell/partition_rows.h
@@ -46,8 +46,8 @@
 
     /// Reads the head row; its owner is empty if nobody owns the partition.
     [[nodiscard]] std::optional<pb::partition_head> current_head();
-    /// Makes this node the owner and returns the epoch. Returns nothing, with the reason, if another node was
-    /// first or the outcome is unknown.
+    /// Makes this node the owner and returns the first of its epochs. Returns nothing, with the reason, if
+    /// another node was first or the outcome is unknown.
     [[nodiscard]] std::optional<std::uint64_t> take();
     [[nodiscard]] std::optional<partition_content> load();
     [[nodiscard]] row_outcome write(const job_rows& rows);
@@ -56,7 +56,10 @@
     /// Gives up ownership, so that a successor can take the partition over immediately.
     [[nodiscard]] row_outcome release();
 
-    [[nodiscard]] std::uint64_t epoch() const { return m_head.epoch(); }
+    /// The last epoch of the owner; the next owner takes later ones.
+    [[nodiscard]] std::uint64_t last_epoch() const { return m_head.epoch(); }
+    /// The epochs up to this one become the owner's with the next write.
+    void set_wanted_epoch(std::uint64_t wanted) { m_wanted_epoch = wanted; }
     /// Whether it was certain at the last `take` that no previous owner sends commands to targets any more:
     /// the last one released the partition, or was an earlier incarnation of this node.
     [[nodiscard]] bool sole_owner() const { return m_sole_owner; }
@@ -81,6 +84,7 @@
     milliseconds m_earlier_lease{0};
     pb::partition_head m_head;
     std::int64_t m_version = 0; ///< of the head row; 0 if it doesn't exist
+    std::uint64_t m_wanted_epoch = 0;
     bool m_sole_owner = false;
 };
 
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -27,9 +27,10 @@
 
 struct engine_options {
     int partition = 0;
-    std::uint64_t epoch = 1;
-    milliseconds lease{4500};         ///< requested with each poll and start
-    milliseconds longest_lease{6000}; ///< that targets grant
+    std::uint64_t epoch = 1;                   ///< the first one of this owner
+    std::uint64_t last_epoch = epochs_at_once; ///< the last one that is recorded as this owner's
+    milliseconds lease{4500};                  ///< requested with each poll and start
+    milliseconds longest_lease{6000};          ///< that targets grant
     milliseconds poll_wait{1000}; ///< how long a target may keep a poll open while it has nothing to report
     milliseconds idle_poll{4000}; ///< interval between polls of an idle target
     milliseconds retention{135'000};      ///< how long an ended job can be queried
@@ -124,6 +125,10 @@
     [[nodiscard]] bool runs_known() const { return !m_recovering; }
 
     void tick(instant at);
+    /// The last epoch that this owner wants to have recorded as its own, so that it can raise fences.
+    [[nodiscard]] std::uint64_t wanted_epoch() const { return m_wanted_epoch; }
+    /// The epochs up to this one are recorded as this owner's.
+    void set_last_epoch(std::uint64_t last) { m_options.last_epoch = std::max(m_options.last_epoch, last); }
     /// True once a target refused a command because it has seen a later owner.
     [[nodiscard]] bool fenced() const { return m_fenced; }
     [[nodiscard]] std::vector<engine_event> take_events();
@@ -284,6 +289,12 @@
     void note_answer(instant at, target_state& target, const start_stop_command& command,
                      const command_reply& reply);
     void note_outcome(const target_state& target, std::uint64_t fence, command_outcome outcome);
+    [[nodiscard]] std::uint64_t fence_of(const target_state& target) const {
+        return target.fence(m_options.epoch);
+    }
+    /// Raises the fence above that of all commands to the target that may have an effect, if an epoch is
+    /// left.
+    void raise_fence(target_state& target);
     void drop_run(instant at, target_state& target, const std::string& task, std::string_view why);
     /// Drops the runs whose lease has expired at a target that can't be asked.
     void drop_expired(instant at, target_state& target);
@@ -300,15 +311,16 @@
     void stop_answered(instant at, target_state& target, const start_stop_command& command,
                        const command_reply& reply);
     void adopt_or_orphan(instant at, target_state& target, const reported_run& run);
-    /// `first_lists`: the first of an incarnation that followed another one.
+    /// `restarted`: the lists are the first of an incarnation that followed another one.
     void process_running(instant at, instant sent, target_state& target, const poll_result& result,
-                         bool first_lists);
+                         bool restarted);
     bool adopt(instant at, target_state& target, const task_name& name, const reported_run& run);
     void stop_gang(job_state& job, const task_name& name);
     void check_unconfirmed_gangs(instant at);
     void stop_partial_gangs(instant at, job_state& job);
-    /// The store's entry tells of a new incarnation. It proves nothing about any run, so the target is asked.
-    void ask_after_restart(instant at, target_state& target, std::int64_t born_ms);
+    /// The store's entry tells of a new incarnation. It proves nothing about any run, so the
+    /// target is asked.
+    void ask_after_restart(instant at, target_state& target, const std::string& source);
     /// A later incarnation may have taken a deadline on the earlier clock.
     void note_longest_lease(instant at);
     /// The target's lists are those of a new incarnation.
@@ -533,6 +545,9 @@
     bool m_stop_may_be_due = false; ///< a stop may be due
     bool m_changed = true;          ///< something changed that may let a step be placed
     bool m_fenced = false;
+    std::uint64_t m_wanted_epoch = 0;
+    /// The most that the fence of a target was raised that is gone; it may come back and still know.
+    std::uint64_t m_raised_before = 0;
 };
 
 /// Why a job spec is invalid; nothing if it is valid.
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -17,16 +17,6 @@
 constexpr milliseconds partial_gang_wait{1000};
 constexpr milliseconds gang_check_period{250};
 
-std::string describe_restart(instant at, const target_state& target, std::int64_t born_ms) {
-    return "born " + std::to_string(born_ms) + " after " + std::to_string(target.listed_born_ms) +
-           ", lists of " + std::to_string((at - target.last_answer).count()) + " ms ago, " +
-           std::to_string(target.runs.size()) + " runs, " + std::to_string(target.commands_out) +
-           " commands without an answer, " +
-           (target.last_grant == instant{}
-                ? std::string{"no deadline sent"}
-                : "the last deadline sent " + std::to_string((at - target.last_grant).count()) + " ms ago");
-}
-
 bool add_if_absent(std::vector<int>& numbers, int number) {
     if (std::ranges::find(numbers, number) != numbers.end())
         return false;
@@ -205,8 +195,10 @@
 
 // ---- Restarts and leases of targets ----
 
-void job_engine::ask_after_restart(instant at, target_state& target, std::int64_t born_ms) {
-    add_event("target_restart_reported", {}, target.entry.id + ": " + describe_restart(at, target, born_ms));
+void job_engine::ask_after_restart(instant at, target_state& target, const std::string& source) {
+    add_event("target_restart_reported", {}, target.entry.id + ": " + source);
+    note_longest_lease(at);
+    target.fence_due = true;
     target.settled_by = m_last_poll + 1;
     target.poll_in_flight = false;
     target.next_poll = at;
@@ -240,8 +232,12 @@
     m_acks_writing.erase(target.entry.id);
     if (m_pending_acks)
         m_pending_acks->upto.erase(target.entry.id);
-    // It took deadlines on the earlier clock for the longest lease.
+    // It takes deadlines on the earlier clock for the longest lease.
     target.granted_ms = result.clock_ms + m_options.longest_lease.count();
+    target.refuses_outdated = false;
+    target.outdated_fence = target.effective_fence;
+    target.outdated_leases_end =
+        target.last_grant + max_outdated_delay + lasts_at_most(m_options.longest_lease);
     target.failures_in_row = 0;
     target.listed_all = false;
     forget_advice(target.entry.id);
@@ -264,6 +260,7 @@
             continue;
         }
         add_event("target_gone", {}, it->first);
+        m_raised_before = std::max(m_raised_before, target.fence_raised);
         if (m_roster.erase(it->first) > 0)
             m_roster_dirty = true;
         it = m_targets.erase(it);
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -18,6 +18,9 @@
 
 namespace medlarhub {
 
+/// How many epochs an owner has recorded as its own at a time.
+constexpr std::uint64_t epochs_at_once = 16;
+
 enum class command_kind { start, stop };
 
 /// A command that starts or stops a run at one target.
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -123,7 +123,8 @@
     if (m_rows_in_write)
         return false;
     if (!m_urgent.empty() || m_claims.write_due() || (m_roster_dirty && m_roster != m_roster_written) ||
-        !m_rows_to_delete.empty() || m_transfers_due || (at < m_longest_granted_until && !m_longest_recorded))
+        !m_rows_to_delete.empty() || m_transfers_due || m_wanted_epoch > m_options.last_epoch ||
+        (at < m_longest_granted_until && !m_longest_recorded))
         return true;
     return !m_dirty.empty() && at - m_dirty_since >= max_lazy_delay;
 }
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds unhealthy_delay{1000};
 constexpr milliseconds no_capacity_delay{100};
 constexpr milliseconds malformed_delay{1000};
+/// More epochs are requested when fewer than these are left for the fence of a target.
+constexpr std::uint64_t spare_epochs = 4;
 
 std::string ms_between(instant from, instant to) {
     return std::to_string((to - from).count());
@@ -80,10 +82,12 @@
         listed.insert(entry.id);
         auto [found, added] = m_targets.try_emplace(entry.id);
         auto& target = found->second;
+        if (added)
+            target.fence_raised = m_raised_before;
         target.entry = entry;
         if (target.listed_born_ms != 0 &&
             entry.born_ms > std::max(target.listed_born_ms, target.reported_born_ms))
-            ask_after_restart(at, target, entry.born_ms);
+            ask_after_restart(at, target, "its entry, " + describe_restart(at, target, entry.born_ms));
         target.reported_born_ms = std::max(target.reported_born_ms, entry.born_ms);
         target.listed = true;
         if (target.transfer_to)
@@ -132,7 +136,7 @@
         command.address = target.entry.address;
         command.task = run.task;
         command.run = run.number;
-        command.fence = target.fence(m_options.epoch);
+        command.fence = run.start_fence = fence_of(target);
         note_sent(at, target, command);
         command.body = m_jobs.at(run.task.job).spec.body();
         command.saved = run.saved_state;
@@ -152,7 +156,7 @@
         command.address = target.entry.address;
         command.task = task;
         command.run = number;
-        command.fence = target.fence(m_options.epoch);
+        command.fence = fence_of(target);
         note_sent(at, target, command);
         commands.push_back(std::move(command));
     };
@@ -191,6 +195,7 @@
 void job_engine::note_sent(instant at, target_state& target, start_stop_command& command) {
     command.sent = at;
     command.incarnation = target.incarnation;
+    target.effective_fence = std::max(target.effective_fence, command.fence);
     ++target.commands_out;
 }
 
@@ -210,12 +215,28 @@
 }
 
 void job_engine::note_outcome(const target_state& target, std::uint64_t fence, command_outcome outcome) {
-    // A fenced command of an earlier target assignment, or of one that is ending, doesn't mean that this
-    // owner was replaced.
-    if (outcome == command_outcome::fenced && fence == target.fence(m_options.epoch) && !target.transfer_to)
+    // A fenced command of an earlier target assignment, of one that is ending, or from before the fence was
+    // raised doesn't mean that this owner was replaced.
+    if (outcome == command_outcome::fenced && fence == fence_of(target) && !target.transfer_to)
         m_fenced = true;
 }
 
+void job_engine::raise_fence(target_state& target) {
+    target.fence_due = target.effective_fence >= fence_of(target);
+    if (!target.fence_due)
+        return;
+    const auto used = m_options.epoch + target.fence_raised;
+    if (used + spare_epochs >= m_options.last_epoch)
+        m_wanted_epoch = std::max(m_wanted_epoch, used + epochs_at_once);
+    if (used >= m_options.last_epoch)
+        return;
+    ++target.fence_raised;
+    target.fence_due = false;
+    add_event("fence_raised", {},
+              target.entry.id + " to " + std::to_string(fence_of(target)) +
+                  (target.suspect ? ": it is silent" : ": it has restarted"));
+}
+
 void job_engine::start_answered(instant at, target_state& target, const start_stop_command& command,
                                 const command_reply& reply) {
     const auto outcome = reply.outcome;
@@ -307,12 +328,16 @@
             continue;
         if ((target.poll_in_flight && !is_overdue) || (!target.poll_in_flight && at < target.next_poll))
             continue;
+        if (target.fence_due)
+            raise_fence(target);
         target_poll_command command;
         command.target = id;
         command.address = target.entry.address;
-        command.fence = target.fence(m_options.epoch);
-        command.number = ++m_last_poll;
-        if (target.may_acknowledge(at)) {
+        command.fence = fence_of(target);
+        command.number = target.latest_poll = ++m_last_poll;
+        if (target.may_have_restarted()) {
+            target.acks_withheld_since = {};
+        } else if (target.may_acknowledge(at)) {
             command.acked_upto = target.acked_upto;
             target.acks_withheld_since = {};
         } else if (target.acks_withheld_since == instant{}) {
@@ -323,9 +348,11 @@
             command.deadline_ms = target.target_clock_ms(at) + m_options.lease.count();
             target.granted_ms = std::max(target.granted_ms, *command.deadline_ms);
             target.last_grant = at;
-            if (!target.runs.empty())
+            if (!target.runs.empty() && target.refuses_outdated)
                 command.wait = m_options.poll_wait;
         }
+        if (command.deadline_ms || command.acked_upto > 0)
+            target.effective_fence = std::max(target.effective_fence, command.fence);
         target.poll_in_flight = true;
         target.poll_overdue = at + command.wait + poll_grace;
         commands.push_back(std::move(command));
@@ -342,6 +369,8 @@
     note_outcome(target, command.fence, result.outcome);
     if (command.number < target.latest_answered)
         return; // a later poll was answered first
+    if (result.outcome == command_outcome::fenced && command.number < target.latest_poll)
+        return; // a later poll may have raised the fence
     target.poll_in_flight = false;
     if (target.transfer_to)
         return; // it runs nothing of this partition any more
@@ -353,6 +382,7 @@
         // the expiry of its lease does.
         if (!target.suspect)
             add_event("target_suspect", {}, command.target + ": " + std::string{name_of(result.outcome)});
+        target.fence_due = target.fence_due || !target.suspect;
         target.suspect = true;
         schedule(at);
         return;
@@ -366,6 +396,9 @@
         handle_restart(at, target, result);
     else if (result.born_ms != 0 && result.born_ms < target.listed_born_ms)
         return; // an answer of an earlier incarnation
+    const bool had_outdated = !target.refuses_outdated;
+    target.refuses_outdated = target.refuses_outdated || command.fence > target.outdated_fence;
+    target.fence_due = target.fence_due || !target.refuses_outdated;
     target.incarnation = std::max<std::uint64_t>(target.incarnation, 1);
     if (result.born_ms != 0)
         target.listed_born_ms = result.born_ms;
@@ -373,6 +406,10 @@
     target.clock_read = at;
     target.clock_asked = sent;
     target.last_answer = at;
+    if (had_outdated) { // up to this answer they may have granted the longest lease
+        target.granted_ms = std::max(target.granted_ms, target.clock_ms + m_options.longest_lease.count());
+        note_longest_lease(at);
+    }
     for (const auto& end : result.ended)
         process_end(at, target, end);
     process_running(at, sent, target, result, restarted);
@@ -380,23 +417,25 @@
         target.contacted = true;
         if (target.first_contact == instant{})
             target.first_contact = at;
-        // A lease that an earlier owner requested is never shortened.
-        const auto earlier = target.entry.transfers > 0 ? std::max(m_options.earlier_lease, m_options.lease)
-                                                        : m_options.earlier_lease;
-        target.granted_ms = std::max(target.granted_ms, target.clock_ms + earlier.count());
+        // A lease that an earlier owner requested is never shortened; this incarnation may have taken its
+        // deadline for the longest one.
+        const bool had_owner = m_options.earlier_lease > milliseconds{0} || target.entry.transfers > 0;
+        const auto earlier = std::max(m_options.earlier_lease, m_options.longest_lease);
+        if (had_owner)
+            target.granted_ms = std::max(target.granted_ms, target.clock_ms + earlier.count());
         m_changed = true;
     }
     if (result.complete == target.partly_listed)
         add_event(result.complete ? "target_lists_all" : "target_lists_part", {},
                   command.target + ": " + std::to_string(result.ended.size()) + " ends");
     target.partly_listed = !result.complete;
-    if (result.complete && !target.listed_all) {
+    if (result.complete && target.refuses_outdated && !target.listed_all) {
         target.listed_all = true;
         m_unconfirmed_targets.erase(command.target);
         finish_recovery(at);
     }
-    const bool idle = result.complete && target.runs.empty() && target.orphans.empty() &&
-                      target.acked_upto >= target.seen_upto;
+    const bool idle = result.complete && target.refuses_outdated && target.runs.empty() &&
+                      target.orphans.empty() && target.acked_upto >= target.seen_upto;
     target.was_idle = idle && result.running.empty() && result.ended.empty();
     target.next_poll = at + (idle ? m_options.idle_poll : poll_spacing);
     m_stop_may_be_due = m_stop_may_be_due || !target.orphans.empty();
@@ -404,15 +443,18 @@
 }
 
 void job_engine::process_running(instant at, instant sent, target_state& target, const poll_result& result,
-                                 bool first_lists) {
+                                 bool restarted) {
     std::map<std::string, const reported_run*> listed;
     for (const auto& run : result.running)
         listed[run.task] = &run;
     std::vector<std::pair<std::string, std::string_view>> gone;
     for (auto& [text, run] : target.runs) {
-        if (!first_lists && run.unlocated_since != instant{} && run.unlocated_since < sent) {
+        // The target takes no start of that fence any more.
+        const bool is_outdated =
+            run.incarnation < target.incarnation && run.start_fence <= target.outdated_fence;
+        if (!restarted && run.unlocated_since != instant{} && run.unlocated_since < sent) {
             run.unlocated_since = {};
-            if (!run.start_in_flight && run.incarnation == 0)
+            if (!is_outdated && !run.start_in_flight && run.incarnation == 0)
                 run.incarnation = target.incarnation;
         }
         const auto found = listed.find(text);
@@ -430,12 +472,11 @@
                 run.saved_state = found->second->saved;
             continue;
         }
-        if (!result.complete)
-            continue; // its end may be among those that aren't listed yet
+        // Its end may be among those that aren't listed yet, or its start may still be carried out.
+        if (!result.complete || !target.refuses_outdated)
+            continue;
         const bool answered = run.phase == run_phase::running && run.confirmed_at < sent;
-        const bool at_earlier =
-            run.incarnation != 0 ? run.incarnation < target.incarnation : answered && first_lists;
-        if (at_earlier && run.unanswered_starts == 0)
+        if (is_outdated && run.unanswered_starts == 0)
             gone.emplace_back(text, "its target restarted");
         else if (run.stop_confirmed != instant{} && run.stop_confirmed < sent)
             gone.emplace_back(text, "the target confirmed the stop");
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -27,8 +27,18 @@
     return run.start_sent ? "its start has no answer" : "its start wasn't sent";
 }
 
-std::uint64_t target_state::fence(std::uint64_t epoch) const {
-    return (entry.transfers << epoch_bits) | epoch;
+std::string describe_restart(instant at, const target_state& target, std::int64_t born_ms) {
+    return "born " + std::to_string(born_ms) + " after " + std::to_string(target.listed_born_ms) +
+           ", lists of " + std::to_string((at - target.last_answer).count()) + " ms ago, " +
+           std::to_string(target.runs.size()) + " runs, " + std::to_string(target.commands_out) +
+           " commands without an answer, " +
+           (target.last_grant == instant{}
+                ? std::string{"no deadline sent"}
+                : "the last deadline sent " + std::to_string((at - target.last_grant).count()) + " ms ago");
+}
+
+std::uint64_t target_state::fence(std::uint64_t first_epoch) const {
+    return (entry.transfers << epoch_bits) | (first_epoch + fence_raised);
 }
 
 resources target_state::free() const {
@@ -65,20 +75,20 @@
 
 bool target_state::may_acknowledge(instant at) const {
     const bool overdue = acks_withheld_since != instant{} && at - acks_withheld_since >= max_withheld_acks;
-    return is_settled() && std::ranges::none_of(runs, [&](const auto& each) {
-               const auto& run = each.second;
-               const bool may_have_ended = run.start_in_flight && at - run.start_sent_at > shortest_run;
-               return run.incarnation == 0 &&
-                      (run.unlocated_since != instant{} || (may_have_ended && !overdue));
-           });
+    return !may_have_restarted() && std::ranges::none_of(runs, [&](const auto& each) {
+        const auto& run = each.second;
+        const bool may_have_ended = run.start_in_flight && at - run.start_sent_at > shortest_run;
+        return run.incarnation == 0 && (run.unlocated_since != instant{} || (may_have_ended && !overdue));
+    });
 }
 
 instant target_state::lease_expiry() const {
-    return clock_read + lasts_at_most(milliseconds{granted_ms - clock_ms});
+    const auto granted_until = clock_read + lasts_at_most(milliseconds{granted_ms - clock_ms});
+    return refuses_outdated ? granted_until : std::max(granted_until, outdated_leases_end);
 }
 
 instant target_state::longest_lease_expiry(milliseconds longest_lease) const {
-    return std::max(lease_expiry(), last_grant + max_command_delay + lasts_at_most(longest_lease));
+    return std::max(lease_expiry(), last_grant + max_outdated_delay + lasts_at_most(longest_lease));
 }
 
 milliseconds lasts_at_most(milliseconds lease) {
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -13,6 +13,9 @@
 
 /// Commands of an owner may reach targets this long after they were sent.
 constexpr milliseconds max_command_delay{500};
+/// The same for commands whose deadline is on the clock of an earlier incarnation, so that a later one takes
+/// them whenever they come: the longest timeout of a call, and what a relay adds to it.
+constexpr milliseconds max_outdated_delay{2500};
 
 enum class run_phase {
     starting,        ///< the start command is queued or in flight
@@ -39,7 +42,8 @@
     /// known.
     std::uint64_t incarnation = 0;
     bool start_in_flight = false;
-    instant start_sent_at{}; ///< the last one
+    instant start_sent_at{};       ///< the last one
+    std::uint64_t start_fence = 0; ///< of the last one; 0 if an earlier owner started it
     /// When a start was answered, or lost, without telling which incarnation took it; unset once later lists
     /// show that a later incarnation didn't.
     instant unlocated_since{};
@@ -82,8 +86,19 @@
     std::int64_t reported_born_ms = 0; ///< the latest start that its entry told of
     /// Number of the first poll whose answer tells whether the restart that its entry told of has happened.
     std::uint64_t settled_by = 0;
-    instant restart_seen{};     ///< when the first lists of a later incarnation were read
-    int commands_out = 0;       ///< starts and stops without an answer yet
+    instant restart_seen{}; ///< when the first lists of a later incarnation were read
+    /// How far the fence was raised so that a target refuses commands that were meant for an earlier
+    /// incarnation.
+    std::uint64_t fence_raised = 0;
+    bool fence_due = false;            ///< the next poll is to raise it
+    std::uint64_t effective_fence = 0; ///< the highest one of a command that may have an effect
+    /// The highest one of such a command that was sent before the latest incarnation was known.
+    std::uint64_t outdated_fence = 0;
+    /// Whether the latest incarnation has answered a higher one, so that no such command has an effect any
+    /// more.
+    bool refuses_outdated = true;
+    instant outdated_leases_end{}; ///< when leases that such commands may have granted have expired
+    int commands_out = 0;          ///< starts and stops without an answer yet
     bool in_roster = false;     ///< it is in the written roster, so that a later owner looks for runs there
     bool contacted = false;     ///< it has answered this owner, so its runs are known
     bool listed_all = false;    ///< it has given this owner a complete list of its runs and ends
@@ -105,6 +120,7 @@
     std::optional<int> transfer_to; ///< destination partition, if it is being transferred
     bool transfer_recorded = false; ///< the transfer was handed out for writing
     bool poll_in_flight = false;
+    std::uint64_t latest_poll = 0; ///< number of the latest poll that was sent
     instant next_poll{};
     instant poll_overdue{};            ///< when the poll in flight counts as unanswered
     std::uint64_t latest_answered = 0; ///< number of the latest poll with an answer
@@ -114,8 +130,8 @@
     instant avoid_until{};
 
     /// The fencing token of commands to the target, which refuses any lower than it has seen. It grows with
-    /// each target assignment, and within one assignment with each owner's epoch.
-    [[nodiscard]] std::uint64_t fence(std::uint64_t epoch) const;
+    /// each target assignment, within one assignment with each owner's first epoch, and with each raise.
+    [[nodiscard]] std::uint64_t fence(std::uint64_t first_epoch) const;
     [[nodiscard]] resources free() const;
     [[nodiscard]] bool has_run_of_unknown_need() const;
     [[nodiscard]] std::int64_t target_clock_ms(instant at) const;
@@ -128,6 +144,9 @@
     /// Whether a later incarnation surely has no ends that nobody read: it would forget them, since it
     /// numbers its ends from 1 again. Starts that are on their way hold this up only for a while.
     [[nodiscard]] bool may_acknowledge(instant at) const;
+    /// Whether its next answer may be one of a later incarnation, or commands for an earlier one may still
+    /// have an effect.
+    [[nodiscard]] bool may_have_restarted() const { return suspect || !is_settled() || !refuses_outdated; }
     /// Whether no restart that its entry told of is still to be settled by its own lists.
     [[nodiscard]] bool is_settled() const { return latest_answered >= settled_by; }
     /// When, by this node's clock, all runs under the latest lease have certainly ended that surely are at
@@ -137,6 +156,8 @@
     [[nodiscard]] instant longest_lease_expiry(milliseconds longest_lease) const;
 };
 
+/// For the log: a restart of the target, and what is still open from before it.
+std::string describe_restart(instant at, const target_state& target, std::int64_t born_ms);
 /// How long a lease may last by this node's clock.
 milliseconds lasts_at_most(milliseconds lease);
 /// Whether `need` fits into `free`. A need of 0 always fits, even if `free` is negative.
--- a/test/cell_view_test.cpp
+++ b/test/cell_view_test.cpp
@@ -148,6 +148,18 @@
     CHECK(with.view.owner_address(0) == "me:1");
 }
 
+// Guards against an owner that closes its partition because others read its later epochs in the head row
+// first.
+TEST_CASE("a node doesn't take later epochs of its own for those of another owner", "[view][ownership]") {
+    viewer with;
+    (void)with.view.update_owned({{0, 16}});
+    with.view.learn_owner(0, {with.view.owner_name(), "me:1", 32});
+    CHECK(with.view.update_owned({{0, 16}}).lost.empty());
+    CHECK(with.view.update_owned({{0, 32}}).lost.empty());
+    with.view.learn_owner(0, {owner_of("other"), "other:1", 48});
+    CHECK(with.view.update_owned({{0, 32}}).lost == std::vector<int>{0});
+}
+
 TEST_CASE("a malformed message changes nothing and throws nothing", "[view]") {
     struct row {
         const char* name;
--- a/test/owned_partition_test.cpp
+++ b/test/owned_partition_test.cpp
@@ -286,6 +286,77 @@
     CHECK(next.earlier_lease() == given.waits);
 }
 
+namespace {
+
+/// Takes the partition over as the release before did, with a single epoch, and returns it.
+std::uint64_t take_as_earlier_release(standin::memory_table& rows, const std::string& owner) {
+    const auto row = rows.list({}, {}, 1);
+    pb::partition_head head;
+    if (!row->empty())
+        REQUIRE(head.ParseFromString(row->front().value));
+    head.set_owner(owner);
+    head.set_epoch(head.epoch() + 1);
+    head.set_sequence(head.sequence() + 1);
+    REQUIRE(rows.transact({{"p0/head/owner", head.SerializeAsString(), write_condition::none, 0, false}})
+                .outcome == write_outcome::committed);
+    return head.epoch();
+}
+
+} // namespace
+
+// Guards against a target that refuses an owner for good: its fences have to be above all that earlier owners
+// may have used, whichever release they were of.
+TEST_CASE("a later owner has later epochs, in any order of this release and the one before",
+          "[ownership][outdated][upgrade]") {
+    const std::string order = GENERATE("nnnn", "onon", "oonn", "nnoo", "nono", "onno");
+    INFO(order);
+    standin::memory_table rows;
+    std::uint64_t used = 0;
+    int number = 0;
+    for (const auto release : order) {
+        const auto owner = "n" + std::to_string(++number) + "/1";
+        if (release == 'o') {
+            const auto epoch = take_as_earlier_release(rows, owner);
+            REQUIRE(epoch > used);
+            used = epoch;
+            continue;
+        }
+        partition_rows next{rows, 0, owner, "a", longest_lease};
+        const auto first = next.take();
+        REQUIRE(first);
+        CHECK(*first > used);
+        CHECK(next.last_epoch() > *first); // it can raise fences at once
+        for (int i = 0; i < 3; ++i) {      // it needs more of them
+            next.set_wanted_epoch(next.last_epoch() + 20);
+            REQUIRE(next.write({}) == row_outcome::written);
+            CHECK(next.confirm() == row_outcome::written);
+        }
+        REQUIRE(next.release() == row_outcome::written);
+        used = next.last_epoch();
+    }
+}
+
+// Guards against an owner that takes its own write, whose answer was lost, for that of another owner.
+TEST_CASE("an owner recognises its own later epochs", "[ownership][outdated]") {
+    standin::memory_table rows;
+    partition_rows owner{rows, 0, "n1/1", "a", longest_lease};
+    REQUIRE(owner.take());
+    const auto head = rows.list({}, {}, 1)->front();
+    pb::partition_head written;
+    REQUIRE(written.ParseFromString(head.value));
+    owner.set_wanted_epoch(written.epoch() + 16);
+    written.set_epoch(written.epoch() + 16);
+    REQUIRE(
+        rows.transact({{head.key, written.SerializeAsString(), write_condition::none, 0, false}}).outcome ==
+        write_outcome::committed);
+    CHECK(owner.confirm() == row_outcome::written);
+    written.set_owner("n2/1");
+    REQUIRE(
+        rows.transact({{head.key, written.SerializeAsString(), write_condition::none, 0, false}}).outcome ==
+        write_outcome::committed);
+    CHECK(owner.confirm() == row_outcome::ownership_lost);
+}
+
 TEST_CASE("a suspension shows as time since boot that the process's clock didn't count", "[ownership]") {
     const instant start{1h};
     suspension_guard guard;
