Stop a start that is refused because of another run of its task

A start that a target refuses since it has another run of the task was taken for one that does no harm, and the task was placed elsewhere at once. The other run may be one that an earlier owner's command started there after the target restarted, which no list has told yet.

Now such a start is stopped like one without an answer, which ends and bars the other run, and the task goes elsewhere when the lists that follow show neither.

Test: engine_outdated_commands_test "a start that is refused because of another run of the task", red before (the second command was a start).

--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -274,7 +274,8 @@
         m_starts.push_back({target.entry.id, text, command.ticket});
         return;
     }
-    if (run.unanswered_starts > 0) { // one of them may still be carried out
+    // One of them may still be carried out, or an earlier owner's run of the task is there.
+    if (run.unanswered_starts > 0 || outcome == command_outcome::superseded) {
         if (run.phase == run_phase::starting)
             run.phase = run_phase::unknown_outcome;
         request_stop(run);
--- a/test/engine_outdated_commands_test.cpp
+++ b/test/engine_outdated_commands_test.cpp
@@ -200,6 +200,49 @@
     CHECK(world.target(pair.full).running().contains("late.0.0.0"));
 }
 
+// Guards against a task that is started elsewhere though its target refused the start because an earlier
+// owner's command for an earlier incarnation has started the task there.
+TEST_CASE(
+    "a start that is refused because of another run of the task is stopped before the task goes elsewhere",
+    "[engine][restarts][outdated][recovery]") {
+    const instant start{std::chrono::hours{1000}};
+    auto config = std::make_shared<cell_config>();
+    config->queues["checks"].service = "orders";
+    job_engine engine{{.epoch = 17, .last_epoch = 32}};
+    engine.set_config(config);
+    engine.restore({}, {});
+    engine.set_targets(start, {standin::job_target{"t0", {4000, 64'000, 0}, start - 100s}.entry(),
+                               standin::job_target{"t1", {4000, 64'000, 0}, start - 100s}.entry()});
+    std::vector<command_kind> commands;
+    for (auto at = start; at < start + 1200ms; at += 20ms) {
+        if (at == start + 1s)
+            (void)engine.accept(at, simple_job("j", {simple_step(1, 1000)}));
+        for (const auto& poll : engine.take_polls(at)) {
+            if (!commands.empty())
+                continue; // no lists tell of the run yet
+            poll_result lists;
+            lists.outcome = command_outcome::done;
+            lists.born_ms = to_ms(start - 100s);
+            lists.clock_ms = 100'000 + (at - start).count();
+            lists.complete = true;
+            engine.handle_poll_result(at, at, poll, lists);
+        }
+        engine.tick(at);
+        while (engine.write_due(at)) {
+            (void)engine.take_rows(at);
+            engine.rows_written(at);
+        }
+        for (const auto& command : engine.take_commands(at)) {
+            const bool is_start = command.kind == command_kind::start;
+            commands.push_back(command.kind);
+            engine.handle_command_result(at, command,
+                                         {is_start ? command_outcome::superseded : command_outcome::done,
+                                          100'000 + (at - start).count()});
+        }
+    }
+    CHECK(commands == std::vector{command_kind::start, command_kind::stop});
+}
+
 // Guards against an incarnation that takes commands which the one before refused.
 TEST_CASE("a target that restarts again refuses the commands for both earlier incarnations",
           "[engine][restarts][outdated]") {
