Notice a restart by the clock in the answer to a command

What callers would see: work that isn't started, or TWICE: a target that restarted while the poll in flight was lost went unnoticed until the next poll, 1.3 s and more later, and took outdated commands meanwhile.

Change: an answer to a start or stop tells the target's clock. One that is more than a second behind where the listed incarnation's clock must be is that of a later one, and the target is asked at once, as when its entry tells of a restart. It proves nothing about any run. After a suspension of this process no clock counts.

Test: engine_outdated_commands_test "the answer to a start tells of a restart by its clock", red before.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -318,7 +318,7 @@
     void stop_gang(job_state& job, const task_name& name);
     void check_unconfirmed_gangs(instant at);
     void stop_partial_gangs(instant at, job_state& job);
-    /// The store's entry tells of a new incarnation. It proves nothing about any run, so the
+    /// The store's entry, or a clock, tells of a new incarnation. It proves nothing about any run, so the
     /// target is asked.
     void ask_after_restart(instant at, target_state& target, const std::string& source);
     /// A later incarnation may have taken a deadline on the earlier clock.
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -203,6 +203,8 @@
                              const command_reply& reply) {
     if (target.commands_out > 0) // unless the target was removed meanwhile
         --target.commands_out;
+    if (reply.clock_ms && target.is_settled() && target.is_clock_of_later(command.sent, *reply.clock_ms))
+        ask_after_restart(at, target, "the clock of an answer is " + std::to_string(*reply.clock_ms));
     if (command.incarnation >= target.incarnation || command.sent == instant{})
         return;
     // It was meant for an earlier incarnation; which one carried it out isn't told.
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -1,6 +1,7 @@
 #include "jobs/target_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace medlarhub {
@@ -10,6 +11,8 @@
 /// How much slower than this node's clock a target's clock may run, as a fraction.
 constexpr double clock_drift = 0.02;
 constexpr milliseconds clock_margin{100};
+/// A clock has to be this far behind to be taken for that of a later incarnation.
+constexpr milliseconds restart_margin{1000};
 /// A start that was sent less than this ago is taken for one whose run hasn't ended.
 constexpr milliseconds shortest_run{200};
 constexpr milliseconds max_withheld_acks{1000};
@@ -67,6 +70,13 @@
     return incarnation != 0 && clock > clock_ms + (at - clock_asked + clock_margin).count();
 }
 
+bool target_state::is_clock_of_later(instant command_sent, std::int64_t clock) const {
+    const auto passed = static_cast<double>((command_sent - clock_read).count());
+    const auto least =
+        static_cast<double>(clock_ms - restart_margin.count()) + passed - std::abs(passed) * clock_drift;
+    return incarnation != 0 && clock_asked != instant{} && static_cast<double>(clock) < least;
+}
+
 bool target_state::is_of_later_incarnation(instant sent, const poll_result& result) const {
     if (result.born_ms == 0 || listed_born_ms == 0 || result.born_ms == listed_born_ms)
         return false;
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -139,6 +139,8 @@
     [[nodiscard]] bool is_clock_of_listed(instant at, std::int64_t clock) const;
     /// Whether a response that tells this clock is one of an earlier incarnation that comes late.
     [[nodiscard]] bool is_clock_of_earlier(instant at, std::int64_t clock) const;
+    /// Whether the answer to a command that tells this clock is one of a later incarnation.
+    [[nodiscard]] bool is_clock_of_later(instant command_sent, std::int64_t clock) const;
     /// Whether an answer is of a later incarnation than the one whose lists were read last.
     [[nodiscard]] bool is_of_later_incarnation(instant sent, const poll_result& result) const;
     /// Whether a later incarnation surely has no ends that nobody read: it would forget them, since it
--- a/test/engine_outdated_commands_test.cpp
+++ b/test/engine_outdated_commands_test.cpp
@@ -200,6 +200,27 @@
     CHECK(world.target(pair.full).running().contains("late.0.0.0"));
 }
 
+// Guards against an idle target whose restart goes unseen until its next poll, seconds later.
+TEST_CASE("the answer to a start tells of a restart by its clock", "[engine][restarts][outdated]") {
+    job_world world{{.targets = 1, .work = 60s, .faults = false}, 54};
+    world.run_for(20s);
+    world.submit(simple_job("early", {simple_step(1, 1000)}));
+    world.run_for(500ms);
+    world.lose_polls(1);
+    world.run_for(100ms);
+    world.restart("t0");
+    (void)world.owner().take_events();
+    world.submit(simple_job("j", {simple_step(1, 1000)}));
+    world.run_for(200ms);
+    std::string events;
+    for (const auto& event : world.owner().take_events())
+        events += event.what + " ";
+    CHECK(events.find("target_restarted") != std::string::npos);
+    world.run_for(20s);
+    CHECK(world.target("t0").running().size() == 2);
+    CHECK(world.starts().size() == 3);
+}
+
 // Guards against a task that is started elsewhere though its target refused the start because an earlier
 // owner's command for an earlier incarnation has started the task there.
 TEST_CASE(
