Tell incarnations by a clock that may start anywhere

What callers would see: TWICE. A start that a new incarnation answered counted as one of the earlier incarnation, with that one's shorter lease, or a stop that the earlier one answered as one of the new.

Cause: the owner took a clock for that of the listed incarnation if it was later than any that started at 0 since the last lists.

Change: a clock counts as the listed incarnation's only between what that one may have shown when the command was sent and when its answer came. One that is off by more than a second, either way, makes the owner ask the target.

Tests: engine_outdated_commands_test "a start that a new incarnation with any clock answered", a row of "a start's answer tells the incarnation by its clock", whose listed clock stood still for 0.3 s and runs now, and half of the random worlds with clocks that start anywhere.

--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds unhealthy_delay{1000};
 constexpr milliseconds no_capacity_delay{100};
 constexpr milliseconds malformed_delay{1000};
+/// A clock that is off by more than this makes the owner ask whether the target has restarted.
+constexpr milliseconds asked_clock_deviation{1000};
 /// More epochs are requested when fewer than these are left for the fence of a target.
 constexpr std::uint64_t spare_epochs = 4;
 
@@ -203,10 +205,14 @@
                              const command_reply& reply) {
     if (target.commands_out > 0) // unless the target was removed meanwhile
         --target.commands_out;
-    if (reply.clock_ms && target.is_settled() && target.is_clock_of_later(command.sent, *reply.clock_ms))
-        ask_after_restart(at, target, "the clock of an answer is " + std::to_string(*reply.clock_ms));
-    if (command.incarnation >= target.incarnation || command.sent == instant{})
+    if (command.sent == instant{})
         return;
+    if (command.incarnation == target.incarnation) {
+        if (reply.clock_ms && target.is_settled() &&
+            target.is_clock_of_other(command.sent, at, *reply.clock_ms, asked_clock_deviation))
+            ask_after_restart(at, target, "the clock of an answer is " + std::to_string(*reply.clock_ms));
+        return;
+    }
     // It was meant for an earlier incarnation; which one carried it out isn't told.
     add_event("earlier_command_answered", command.task.job,
               command.target + " " + (command.kind == command_kind::start ? "start " : "stop ") +
@@ -259,7 +265,7 @@
             return;
         run.phase = run_phase::running;
         run.confirmed_at = at;
-        if (reply.clock_ms && target.is_clock_of_listed(at, *reply.clock_ms))
+        if (reply.clock_ms && target.is_clock_of_listed(command.sent, at, *reply.clock_ms))
             run.incarnation = target.incarnation;
         else
             note_longest_lease(at);
@@ -309,8 +315,8 @@
     auto& run = found->second;
     run.stop_in_flight = false;
     run.next_stop = at + stop_retry;
-    const bool is_late = reply.clock_ms && target.is_clock_of_earlier(at, *reply.clock_ms);
-    if (!is_late && (outcome == command_outcome::done || outcome == command_outcome::superseded)) {
+    const bool is_other = reply.clock_ms && target.is_clock_of_other(command.sent, at, *reply.clock_ms, {});
+    if (!is_other && (outcome == command_outcome::done || outcome == command_outcome::superseded)) {
         run.stop_confirmed = at;
         target.next_poll = at;
         return;
--- a/src/jobs/target_table.cpp
+++ b/src/jobs/target_table.cpp
@@ -11,8 +11,6 @@
 /// How much slower than this node's clock a target's clock may run, as a fraction.
 constexpr double clock_drift = 0.02;
 constexpr milliseconds clock_margin{100};
-/// A clock has to be this far behind to be taken for that of a later incarnation.
-constexpr milliseconds restart_margin{1000};
 /// A start that was sent less than this ago is taken for one whose run hasn't ended.
 constexpr milliseconds shortest_run{200};
 constexpr milliseconds max_withheld_acks{1000};
@@ -60,21 +58,26 @@
     return clock_ms + (at - clock_read).count();
 }
 
-bool target_state::is_clock_of_listed(instant at, std::int64_t clock) const {
-    // A later incarnation started after these lists were made, with its clock at 0.
-    return incarnation != 0 && clock > (at - clock_asked + clock_margin).count() &&
-           !is_clock_of_earlier(at, clock);
+std::optional<clock_range> target_state::clock_between(instant from, instant to) const {
+    if (incarnation == 0 || clock_asked == instant{})
+        return {};
+    const auto passed = static_cast<double>((from - clock_read).count());
+    const auto least = static_cast<double>(clock_ms) + passed - std::abs(passed) * clock_drift;
+    return clock_range{static_cast<std::int64_t>(least) - clock_margin.count(),
+                       clock_ms + (to - clock_asked + clock_margin).count()};
 }
 
-bool target_state::is_clock_of_earlier(instant at, std::int64_t clock) const {
-    return incarnation != 0 && clock > clock_ms + (at - clock_asked + clock_margin).count();
+bool target_state::is_clock_of_listed(instant sent, instant answered, std::int64_t clock) const {
+    const auto range = clock_between(sent, answered);
+    // A later incarnation whose clock starts at 0 started after these lists were made.
+    return range && clock >= range->least && clock <= range->most &&
+           clock > (answered - clock_asked + clock_margin).count();
 }
 
-bool target_state::is_clock_of_later(instant command_sent, std::int64_t clock) const {
-    const auto passed = static_cast<double>((command_sent - clock_read).count());
-    const auto least =
-        static_cast<double>(clock_ms - restart_margin.count()) + passed - std::abs(passed) * clock_drift;
-    return incarnation != 0 && clock_asked != instant{} && static_cast<double>(clock) < least;
+bool target_state::is_clock_of_other(instant sent, instant answered, std::int64_t clock,
+                                     milliseconds tolerance) const {
+    const auto range = clock_between(sent, answered);
+    return range && (clock < range->least - tolerance.count() || clock > range->most + tolerance.count());
 }
 
 bool target_state::is_of_later_incarnation(instant sent, const poll_result& result) const {
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -75,6 +75,12 @@
     bool need_known = false;
 };
 
+/// Clocks of a target, in milliseconds.
+struct clock_range {
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+};
+
 /// What the owner knows about one target.
 struct target_state {
     target_entry entry;
@@ -135,12 +141,14 @@
     [[nodiscard]] resources free() const;
     [[nodiscard]] bool has_run_of_unknown_need() const;
     [[nodiscard]] std::int64_t target_clock_ms(instant at) const;
-    /// Whether a response that tells this clock is surely one of the incarnation whose lists were read last.
-    [[nodiscard]] bool is_clock_of_listed(instant at, std::int64_t clock) const;
-    /// Whether a response that tells this clock is one of an earlier incarnation that comes late.
-    [[nodiscard]] bool is_clock_of_earlier(instant at, std::int64_t clock) const;
-    /// Whether the answer to a command that tells this clock is one of a later incarnation.
-    [[nodiscard]] bool is_clock_of_later(instant command_sent, std::int64_t clock) const;
+    /// What the clock of the incarnation whose lists were read last may have shown between two moments;
+    /// nothing if that isn't known. Other incarnations have other clocks, which may start anywhere.
+    [[nodiscard]] std::optional<clock_range> clock_between(instant from, instant to) const;
+    /// Whether the answer to a command that tells this clock is surely one of that incarnation.
+    [[nodiscard]] bool is_clock_of_listed(instant sent, instant answered, std::int64_t clock) const;
+    /// Whether it is one of another incarnation, that is, off by more than `tolerance`.
+    [[nodiscard]] bool is_clock_of_other(instant sent, instant answered, std::int64_t clock,
+                                         milliseconds tolerance) const;
     /// Whether an answer is of a later incarnation than the one whose lists were read last.
     [[nodiscard]] bool is_of_later_incarnation(instant sent, const poll_result& result) const;
     /// Whether a later incarnation surely has no ends that nobody read: it would forget them, since it
--- a/test/engine_outdated_commands_test.cpp
+++ b/test/engine_outdated_commands_test.cpp
@@ -264,6 +264,28 @@
     CHECK(commands == std::vector{command_kind::start, command_kind::stop});
 }
 
+// Guards against a run that counts as one of the earlier incarnation, with that one's lease, since the clock
+// in its start's answer is later than any that starts at 0 could be.
+TEST_CASE("a start that a new incarnation with any clock answered keeps the longest lease",
+          "[engine][restarts][outdated]") {
+    const auto clock_start = GENERATE(0, 5'000, 15'000, 19'000);
+    INFO("a clock that starts at " << clock_start << " ms");
+    pair_of_targets pair{60s};
+    auto& world = pair.world;
+    world.lose_polls(50);
+    world.run_for(100ms);
+    world.restart(pair.open, clock_start);
+    pair.submit("j");
+    world.run_for(60ms);
+    REQUIRE(world.target(pair.open).running().contains("j.0.0.0"));
+    pair.cut_off();
+    world.lose_polls(0);
+    world.run_for(14s);
+    INFO(world.violation());
+    CHECK(world.violation().empty());
+    CHECK(world.target(pair.full).running().contains("j.0.0.0"));
+}
+
 // Guards against an incarnation that takes commands which the one before refused.
 TEST_CASE("a target that restarts again refuses the commands for both earlier incarnations",
           "[engine][restarts][outdated]") {
@@ -358,7 +380,8 @@
     constexpr int faults = 60;
     for (std::uint64_t seed = 1; seed <= worlds; ++seed) {
         INFO("seed " << seed);
-        job_world world{{.restarts = true, .outlive_restarts = true}, seed};
+        job_world world{{.restarts = true, .outlive_restarts = true, .clocks_start_anywhere = seed % 2 == 0},
+                        seed};
         for (int i = 0; i < faults && world.violation().empty(); ++i)
             world.fault();
         world.stop_faults(60s);
--- a/test/engine_restarts_test.cpp
+++ b/test/engine_restarts_test.cpp
@@ -196,9 +196,10 @@
         bool suspended;
         std::int64_t acked_upto;
     };
-    const auto given = GENERATE(row{"the clock of the listed incarnation", 10s, false, 1},
+    const auto given = GENERATE(row{"the clock of the listed incarnation", 10'300ms, false, 1},
                                 row{"a clock that started after the lists were asked for", 400ms, false, 0},
-                                row{"after a suspension", 10s, true, 0});
+                                row{"a clock that starts elsewhere", 7s, false, 0},
+                                row{"after a suspension", 10'300ms, true, 0});
     INFO(given.name);
     const instant start{std::chrono::hours{1000}};
     auto config = std::make_shared<cell_config>();
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -135,8 +135,8 @@
     m_unresponsive_until[target] = m_at + time;
 }
 
-void job_world::restart(const std::string& target) {
-    m_fleet->targets.at(target).restart(m_at);
+void job_world::restart(const std::string& target, std::int64_t clock_start_ms) {
+    m_fleet->targets.at(target).restart(m_at, clock_start_ms);
     m_not_prevented.erase(target);
 }
 
@@ -450,8 +450,10 @@
     const auto pick = [&](std::uint64_t most) { return m_random() % most; };
     const auto any_target = "t" + std::to_string(pick(m_fleet->targets.size()));
     constexpr std::uint64_t restart_one_in = 6;
+    constexpr std::uint64_t latest_clock_start_ms = 30'000;
     if (m_options.restarts && pick(restart_one_in) == 0)
-        restart(any_target);
+        restart(any_target,
+                m_options.clocks_start_anywhere ? static_cast<std::int64_t>(pick(latest_clock_start_ms)) : 0);
     if (m_options.restarts && pick(restart_one_in) == 0)
         read_entries();
     constexpr std::uint64_t kinds = 13;
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -44,6 +44,7 @@
         /// Nothing but an answered call with a higher fence prevents that, so a run that starts so counts
         /// against no guarantee until owners have read two lists of the new incarnation.
         bool outlive_restarts = false;
+        bool clocks_start_anywhere = false; ///< those of targets that restart by a random event
     };
 
     job_world(options given, std::uint64_t seed);
@@ -57,7 +58,7 @@
     /// Starts the next owner, which knows only the written rows and what targets report.
     void take_over();
     void make_unresponsive(const std::string& target, milliseconds time);
-    void restart(const std::string& target);
+    void restart(const std::string& target, std::int64_t clock_start_ms = 0);
     /// The owner learns the targets' entries, as the store has them.
     void read_entries();
     /// Resets progress rows to their state at acceptance, as if no delayed write had been done.
--- a/test/standin/job_target.cpp
+++ b/test/standin/job_target.cpp
@@ -102,8 +102,9 @@
     }
 }
 
-void job_target::restart(instant at) {
+void job_target::restart(instant at, std::int64_t clock_start_ms) {
     job_target next{m_id, m_capacity, at};
+    next.m_clock_start_ms = clock_start_ms;
     next.m_labels = m_labels;
     next.m_max_listed_ends = m_max_listed_ends;
     *this = std::move(next);
--- a/test/standin/job_target.h
+++ b/test/standin/job_target.h
@@ -36,12 +36,14 @@
     /// How many ends one poll returns at most.
     void set_max_listed_ends(std::size_t most) { m_max_listed_ends = most; }
     void set_labels(std::vector<std::string> labels) { m_labels = std::move(labels); }
-    /// Simulates a crash: a new incarnation that knows no earlier runs.
-    void restart(instant at);
+    /// Simulates a crash: a new incarnation that knows no earlier runs, with a clock that starts there.
+    void restart(instant at, std::int64_t clock_start_ms = 0);
 
     [[nodiscard]] target_entry entry() const;
-    /// Its clock, in milliseconds since this incarnation started.
-    [[nodiscard]] std::int64_t clock(instant at) const { return (at - m_incarnation_start).count(); }
+    /// Its clock, in milliseconds.
+    [[nodiscard]] std::int64_t clock(instant at) const {
+        return m_clock_start_ms + (at - m_incarnation_start).count();
+    }
     [[nodiscard]] const std::map<std::string, run_state>& running() const { return m_running; }
     [[nodiscard]] resources held() const;
     /// Ends that the owner acknowledged in a poll.
@@ -57,6 +59,7 @@
     std::vector<std::string> m_labels{"a", "r1"};
     resources m_capacity;
     instant m_incarnation_start;
+    std::int64_t m_clock_start_ms = 0;
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline_ms = 0;
     std::int64_t m_next_end = 1;
