Count the longest lease for a run whose start may be carried out again

What callers would see: TWICE. A run that was listed, or answered at its second send, counted as given up with the usual lease, though another send of its start had no answer yet and might reach the next incarnation, for the longest lease.

Test: engine_outdated_commands_test "a run that was sent twice isn't given up", red before.

--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -63,7 +63,9 @@
     const bool all = at >= target.longest_lease_expiry(m_options.longest_lease);
     std::vector<std::string> texts;
     for (const auto& [text, run] : target.runs) {
-        if (all || run.incarnation != 0)
+        // Another send of its start may reach a later incarnation.
+        const bool may_start_again = run.start_in_flight || run.unanswered_starts > 0;
+        if (all || (run.incarnation != 0 && !may_start_again))
             texts.push_back(text);
     }
     if (!texts.empty())
--- a/test/engine_outdated_commands_test.cpp
+++ b/test/engine_outdated_commands_test.cpp
@@ -286,6 +286,33 @@
     CHECK(world.target(pair.full).running().contains("j.0.0.0"));
 }
 
+// Guards against a lease that counts as the usual one since the run was listed, though another send of its
+// start reaches the next incarnation.
+TEST_CASE("a run that was sent twice isn't given up before the longest lease of its other send",
+          "[engine][restarts][outdated]") {
+    pair_of_targets pair{60s};
+    auto& world = pair.world;
+    world.delay_commands(1s);
+    pair.submit("late");
+    world.run_for(60ms);
+    world.delay_commands(0ms);
+    world.run_for(640ms); // sent again, and listed
+    REQUIRE(world.target(pair.open).running().contains("late.0.0.0"));
+    world.lose_polls(50);
+    world.run_for(100ms);
+    world.restart(pair.open);
+    world.run_for(300ms);
+    REQUIRE(world.target(pair.open).running().contains("late.0.0.0")); // by the first send
+    pair.cut_off();
+    world.lose_polls(0);
+    for (milliseconds passed{0}; passed < 14s; passed += 20ms) {
+        world.run_for(20ms);
+        REQUIRE_FALSE((world.target("t0").running().contains("late.0.0.0") &&
+                       world.target("t1").running().contains("late.0.0.0")));
+    }
+    CHECK(world.target(pair.full).running().contains("late.0.0.0"));
+}
+
 // Guards against an incarnation that takes commands which the one before refused.
 TEST_CASE("a target that restarts again refuses the commands for both earlier incarnations",
           "[engine][restarts][outdated]") {
