Give a target that comes back a fence above all that was sent to it

What callers would see: TWICE, or an end that nobody read. A target that left the list and came back got the fence that its last commands had, not a higher one, and counted as one that refuses them. Found by the review, by reading.

Change: the fence is raised before a target is forgotten (it is kept until an epoch is left), later targets start above it, and its first answer then counts the longest lease. A command whose deadline is on another clock may come 3 s after it was decided, not 2.5: a relay may fail for 0.8 s before the call of up to 2.05 s goes out.

--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -257,7 +257,10 @@
         const bool is_gone = !target.listed && target.suspect && target.runs.empty() &&
                              !target.poll_in_flight && !target.transfer_to &&
                              !m_unconfirmed_targets.contains(it->first);
-        if (!is_gone) {
+        // Should it come back, it is to refuse all that was sent to it before.
+        if (is_gone)
+            raise_fence(target);
+        if (!is_gone || target.fence_due) {
             ++it;
             continue;
         }
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -428,7 +428,8 @@
             target.first_contact = at;
         // A lease that an earlier owner requested is never shortened; this incarnation may have taken its
         // deadline for the longest one.
-        const bool had_owner = m_options.earlier_lease > milliseconds{0} || target.entry.transfers > 0;
+        const bool had_owner = m_options.earlier_lease > milliseconds{0} || target.entry.transfers > 0 ||
+                               target.fence_raised > 0;
         const auto earlier = std::max(m_options.earlier_lease, m_options.longest_lease);
         if (had_owner)
             target.granted_ms = std::max(target.granted_ms, target.clock_ms + earlier.count());
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -14,8 +14,8 @@
 /// Commands of an owner may reach targets this long after they were sent.
 constexpr milliseconds max_command_delay{500};
 /// The same for commands whose deadline is on the clock of an earlier incarnation, so that a later one takes
-/// them whenever they come: the longest timeout of a call, and what a relay adds to it.
-constexpr milliseconds max_outdated_delay{2500};
+/// them whenever they come: a relay that fails, and then the longest timeout of a direct call.
+constexpr milliseconds max_outdated_delay{3000};
 
 enum class run_phase {
     starting,        ///< the start command is queued or in flight
