Logs name the step that others of its team wait behind, and what may run unheard

An operator who saw 'it needs 1 %, 20 % are held' couldn't tell why the step didn't start: whether a wider step of its team goes first, or runs that a new owner hasn't heard of count under the limit. Both are in step_waits now, and team_limits names the first step. No decision changes. The test (engine_team_limits_test, "a step that waits at its team's limit is logged with the step before it") names words that weren't logged before, so that it failed.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -214,6 +214,14 @@
         std::size_t bytes = 0;
     };
 
+    /// A step that others of its team wait behind, with what it needs at once.
+    struct step_at_limit {
+        task_name step;
+        resources need;
+        instant due{};   ///< the latest start that still ends in time
+        instant since{}; ///< when it began to wait
+    };
+
     struct ready_step {
         job_state* job = nullptr;
         int occurrence = 0;
@@ -435,16 +443,21 @@
     /// Whether the team limit holds the step back, either directly or because it holds back an earlier step:
     /// the limit is granted in queue order, so that small steps don't keep large ones waiting forever.
     bool is_held_by_team_limit(instant at, const ready_step& ready, const resources& unit);
+    [[nodiscard]] step_at_limit at_limit(instant at, const ready_step& ready, const resources& unit) const;
+    /// What the team holds, with what may run unheard.
+    [[nodiscard]] resources used_by_team(const std::string& team) const;
     /// Whether the unit needs more than the whole limit, which operators may lower below what accepted work
     /// needs at once. Such work runs while its team runs nothing else.
     [[nodiscard]] bool exceeds_whole_limit(const std::string& team, const resources& unit) const;
     /// `used` as a fraction of the team limit; 0 without a limit.
     [[nodiscard]] double share_of_team_limit(const std::string& team, const resources& used) const;
-    /// For the log: how much of the limit `unit` needs and how much is in use.
-    [[nodiscard]] std::string describe_limit(const std::string& team, const resources& unit) const;
+    /// For the log: how much of the limit `unit` needs, what is in use or withheld, and behind which other
+    /// step the given one waits.
+    [[nodiscard]] std::string describe_limit(const std::string& team, const resources& unit,
+                                             const task_name& step) const;
     /// Records that the team limit held the step back in this pass. Work that exceeds the whole limit blocks
     /// later work of its team only once it is late itself, when all work that can be in time goes before it.
-    void note_held_by_limit(const ready_step& ready, const resources& unit, bool is_late);
+    void note_held_by_limit(instant at, const ready_step& ready, const resources& unit);
     [[nodiscard]] int next_run_number(int last) const;
 
     engine_options m_options;
@@ -468,11 +481,11 @@
     std::map<std::string, resources> m_unconfirmed_use;
     std::set<std::string> m_teams_of_unknown_use;     ///< teams with orphaned runs of unknown need
     std::map<std::string, instant> m_next_preemption; ///< by team
-    /// By team, what the first step that its limit held back in the last pass needs at once.
-    std::map<std::string, resources> m_held_by_limit;
+    /// By team, the first step that its limit held back in the last pass.
+    std::map<std::string, step_at_limit> m_held_by_limit;
     /// By team, the need of the first gang that waits for advice or capacity and not for the limit. Its share
     /// of the limit is withheld from later work, which would otherwise use it up before there is capacity.
-    std::map<std::string, resources> m_limit_reserved;
+    std::map<std::string, step_at_limit> m_limit_reserved;
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended; ///< by time of their end
 
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -240,7 +240,8 @@
     if (cause == wait_cause::team_limit)
         return text + ", " +
                describe_limit(ready.job->team,
-                              spec.gang() ? times(need_of(spec), spec.count()) : need_of(spec));
+                              spec.gang() ? times(need_of(spec), spec.count()) : need_of(spec),
+                              {ready.job->spec.id(), ready.occurrence, ready.step, 0});
     if (cause == wait_cause::no_capacity || cause == wait_cause::too_few_good_targets)
         return text + ", " + std::to_string(step_of(ready).advice.good_count()) + " targets known as good" +
                (m_limit_reserved.contains(ready.job->team) ? ", its team's limit is kept for a gang" : "");
@@ -315,9 +316,9 @@
         const bool too_wide = exceeds_whole_limit(ready.job->team, unit);
         const bool holds_targets = capacity_reserved || reserve_targets(at, ready, advised, reserved);
         if ((holds_targets || at < step.limit_reserved_until) && !too_wide)
-            m_limit_reserved.try_emplace(ready.job->team, unit);
+            m_limit_reserved.try_emplace(ready.job->team, at_limit(at, ready, unit));
         if (!all.empty() && too_wide)
-            note_held_by_limit(ready, unit, at > ready.sort_key->latest_useful_start);
+            note_held_by_limit(at, ready, unit);
     }
     if (cause != wait_cause::no_capacity)
         return cause;
@@ -410,7 +411,7 @@
             return wait_cause::job_not_recorded;
         if (!within_team_limit(ready.job->team, need)) {
             preempt_under_team_limit(at, ready, need);
-            note_held_by_limit(ready, need, at > ready.sort_key->latest_useful_start);
+            note_held_by_limit(at, ready, need);
             return wait_cause::team_limit;
         }
         auto* best = best_target(ready, task, allowed, placed_on);
--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -92,13 +92,10 @@
     if (m_teams_of_unknown_use.contains(team))
         return false;
     const auto& resource_limit = policy->second.resource_limit;
-    const auto found = m_held.find(team);
-    auto held = found == m_held.end() ? resources{} : found->second;
+    auto held = used_by_team(team);
     held -= ended;
-    if (const auto unconfirmed_use = m_unconfirmed_use.find(team); unconfirmed_use != m_unconfirmed_use.end())
-        held += unconfirmed_use->second;
     if (const auto reserved = m_limit_reserved.find(team); reserved != m_limit_reserved.end())
-        held += reserved->second;
+        held += reserved->second.need;
     const auto fits = [&](std::int64_t limit, std::int64_t used, std::int64_t more) {
         // Work that exceeds the whole limit may run while nothing else of the team does.
         return limit <= 0 || more <= 0 || used + more <= limit || used <= 0;
@@ -108,6 +105,14 @@
            fits(resource_limit.accelerators, held.accelerators, need.accelerators);
 }
 
+resources job_engine::used_by_team(const std::string& team) const {
+    const auto held = m_held.find(team);
+    auto used = held == m_held.end() ? resources{} : held->second;
+    if (const auto unconfirmed_use = m_unconfirmed_use.find(team); unconfirmed_use != m_unconfirmed_use.end())
+        used += unconfirmed_use->second;
+    return used;
+}
+
 double job_engine::share_of_team_limit(const std::string& team, const resources& used) const {
     const auto policy = m_config->teams.find(team);
     return policy == m_config->teams.end() ? 0 : part_of(policy->second.resource_limit, used);
@@ -131,7 +136,8 @@
     return std::chrono::floor<milliseconds>(ahead);
 }
 
-std::string job_engine::describe_limit(const std::string& team, const resources& unit) const {
+std::string job_engine::describe_limit(const std::string& team, const resources& unit,
+                                       const task_name& step) const {
     if (exceeds_whole_limit(team, unit))
         return "wider than its team's limit";
     const auto policy = m_config->teams.find(team);
@@ -143,17 +149,25 @@
     auto text = "it needs " + percent(unit) + ", " +
                 percent(held == m_held.end() ? resources{} : held->second) + " are held";
     if (const auto reserved = m_limit_reserved.find(team); reserved != m_limit_reserved.end())
-        text += ", " + percent(reserved->second) + " kept for a gang";
+        text += ", " + percent(reserved->second.need) + " kept for a gang";
+    if (const auto unheard = m_unconfirmed_use.find(team); unheard != m_unconfirmed_use.end())
+        text += ", " + percent(unheard->second) + " may run unheard";
+    if (m_teams_of_unknown_use.contains(team))
+        text += ", a run of unknown need is there";
+    if (const auto first = m_held_by_limit.find(team);
+        first != m_held_by_limit.end() && !(first->second.step == step))
+        text += ", behind " + first->second.step.step_string() + " that needs " + percent(first->second.need);
     return text;
 }
 
 std::string job_engine::describe_limits() const {
     std::string text;
     std::size_t described = 0;
-    for (const auto& [team, next] : m_held_by_limit) {
+    for (const auto& [team, first] : m_held_by_limit) {
         if (++described > max_limits_described)
             break;
-        text += (text.empty() ? "" : "; ") + team + ": " + describe_limit(team, next);
+        text += (text.empty() ? "" : "; ") + team + ": " + first.step.step_string() + ", " +
+                describe_limit(team, first.need, first.step);
     }
     return text;
 }
@@ -172,10 +186,18 @@
             return false;
         preempt_under_team_limit(at, ready, unit);
     }
-    note_held_by_limit(ready, unit, at > ready.sort_key->latest_useful_start);
+    note_held_by_limit(at, ready, unit);
     return true;
 }
 
+job_engine::step_at_limit job_engine::at_limit(instant at, const ready_step& ready,
+                                               const resources& unit) const {
+    return {{ready.job->spec.id(), ready.occurrence, ready.step, 0},
+            unit,
+            ready.sort_key->due,
+            at - step_of(ready).wait.total(at)};
+}
+
 void job_engine::preempt_under_team_limit(instant at, const ready_step& ready, const resources& unit) {
     const auto& team = ready.job->team;
     auto& next = m_next_preemption[team];
@@ -203,10 +225,10 @@
         preempt_run(*preemptible[i].first, preemptible[i].second->task.to_string(), ready.job->spec.id());
 }
 
-void job_engine::note_held_by_limit(const ready_step& ready, const resources& unit, bool is_late) {
-    if (exceeds_whole_limit(ready.job->team, unit) && !is_late)
+void job_engine::note_held_by_limit(instant at, const ready_step& ready, const resources& unit) {
+    if (exceeds_whole_limit(ready.job->team, unit) && at <= ready.sort_key->latest_useful_start)
         return;
-    m_held_by_limit.try_emplace(ready.job->team, unit);
+    m_held_by_limit.try_emplace(ready.job->team, at_limit(at, ready, unit));
 }
 
 } // namespace medlarhub
--- a/test/engine_team_limits_test.cpp
+++ b/test/engine_team_limits_test.cpp
@@ -91,3 +91,31 @@
     world.run_for(12s);
     CHECK(world.owner().state("next") == pb::job_answer::completed);
 }
+
+// Guards against a log that doesn't tell why a step waits at a limit of which little is in use.
+TEST_CASE("a step that waits at its team's limit is logged with the step before it", "[engine][caps][log]") {
+    job_world world{{.targets = 24, .work = 20s, .faults = false}, 93};
+    world.set_config([](cell_config& config) {
+        config.teams.at("orchard").resource_limit.cpu_milli = limit_cpu_milli;
+        config.queues.at("checks").latency_goal = 20s;
+        config.queues.at("bulk").latency_goal = 100ms;
+    });
+    world.submit(simple_job("before", {simple_step(4, 1000)}));
+    world.run_for(200ms);
+    world.submit(simple_job("wide", {filling_step(true)}));
+    world.run_for(200ms);
+    auto narrow = simple_job("narrow", {simple_step(1, 4000)});
+    narrow.set_queue("bulk");
+    world.submit(narrow);
+    world.run_for(6s);
+    std::string logged;
+    for (const auto& event : world.owner().take_events()) {
+        if (event.what == "step_waits" && event.job == "narrow")
+            logged = event.detail;
+    }
+    INFO(logged);
+    CHECK(logged.find("it needs 25 %, 25 % are held, behind wide.0.0 that needs 100 %") != std::string::npos);
+    const auto described = world.owner().describe_limits();
+    INFO(described);
+    CHECK(described.find("orchard: wide.0.0, it needs 100 %, 25 % are held") != std::string::npos);
+}
