A step may use the part of its team's limit that a wider one can't use yet

Cause: the first step that a limit holds back held back all later steps of its team, however little these need, and a gang keeps its part for as long as it waits for advice or room. Change: a step that has waited for 1 s may start beside all that the earlier ones need, so that none of them starts later, and within half of the limit if these are overdue and came later. That can't go on forever: what comes after a step began to wait doesn't pass it that way.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -446,6 +446,10 @@
     [[nodiscard]] step_at_limit at_limit(instant at, const ready_step& ready, const resources& unit) const;
     /// What the team holds, with what may run unheard.
     [[nodiscard]] resources used_by_team(const std::string& team) const;
+    /// Whether the unit may use a part of the limit that earlier steps of its team wait for and can't use
+    /// yet: beside all that they need, or, if they are overdue and came later, up to half of the limit.
+    [[nodiscard]] bool may_use_idle_limit(instant at, const ready_step& ready, const resources& unit) const;
+    void note_passed_at_limit(target_state& target, const task_name& task);
     /// Whether the unit needs more than the whole limit, which operators may lower below what accepted work
     /// needs at once. Such work runs while its team runs nothing else.
     [[nodiscard]] bool exceeds_whole_limit(const std::string& team, const resources& unit) const;
@@ -483,6 +487,8 @@
     std::map<std::string, instant> m_next_preemption; ///< by team
     /// By team, the first step that its limit held back in the last pass.
     std::map<std::string, step_at_limit> m_held_by_limit;
+    /// By team, what runs hold that started before a step that goes before theirs.
+    std::map<std::string, resources> m_passed_at_limit;
     /// By team, the need of the first gang that waits for advice or capacity and not for the limit. Its share
     /// of the limit is withheld from later work, which would otherwise use it up before there is capacity.
     std::map<std::string, step_at_limit> m_limit_reserved;
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -31,6 +31,8 @@
 void job_engine::release(target_state& target, const live_run& run) {
     target.held -= run.held;
     m_held[run.team] -= run.held;
+    if (run.passed_at_limit)
+        m_passed_at_limit[run.team] -= run.held;
     job_state* job = nullptr;
     auto* step = find_step(run.task, &job);
     if (step != nullptr)
--- a/src/jobs/engine_gangs.cpp
+++ b/src/jobs/engine_gangs.cpp
@@ -55,8 +55,14 @@
             continue;
         const auto number = next_run_number(last);
         const auto saved_state = step.gang_saved_state;
-        for (std::size_t i = 0; i < step.tasks.size(); ++i)
-            place(at, ready, static_cast<int>(i), *chosen[i], number, saved_state);
+        const bool passes = m_held_by_limit.contains(ready.job->team) ||
+                            !within_team_limit(ready.job->team, times(need_of(spec), count));
+        for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+            const auto index = static_cast<int>(i);
+            place(at, ready, index, *chosen[i], number, saved_state);
+            if (passes)
+                note_passed_at_limit(*chosen[i], {ready.job->spec.id(), ready.occurrence, ready.step, index});
+        }
         return wait_cause::none;
     }
     return wait_cause::no_capacity;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -409,8 +409,11 @@
         }
         if (ready.job->durable_version == 0)
             return wait_cause::job_not_recorded;
-        if (!within_team_limit(ready.job->team, need)) {
-            preempt_under_team_limit(at, ready, need);
+        const bool passes =
+            m_held_by_limit.contains(ready.job->team) || !within_team_limit(ready.job->team, need);
+        if (passes && !may_use_idle_limit(at, ready, need)) {
+            if (!m_held_by_limit.contains(ready.job->team))
+                preempt_under_team_limit(at, ready, need);
             note_held_by_limit(at, ready, need);
             return wait_cause::team_limit;
         }
@@ -419,6 +422,9 @@
             return wait_cause::no_capacity;
         ++placed_on[best->entry.id];
         place(at, ready, static_cast<int>(i), *best, next_run_number(task.last_run), task.saved_state);
+        if (passes)
+            note_passed_at_limit(*best,
+                                 {ready.job->spec.id(), ready.occurrence, ready.step, static_cast<int>(i)});
     }
     return remaining_cause;
 }
--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t max_limits_described = 6;
 /// How long a gang whose turn under the limit has come keeps its share while it waits for advice or capacity.
 constexpr milliseconds max_idle_reservation{3000};
+/// A step that waited for less than this doesn't pass others of its team: work that ends may let all start.
+constexpr milliseconds min_wait_to_pass{1000};
 
 /// `used` as a fraction of the limit, by the resource that is used most.
 double part_of(const resources& resource_limit, const resources& used) {
@@ -37,6 +39,21 @@
             std::min(left.accelerators, right.accelerators)};
 }
 
+bool is_within(const resources& resource_limit, const resources& used) {
+    const auto fits = [](std::int64_t limit, std::int64_t amount) { return limit <= 0 || amount <= limit; };
+    return fits(resource_limit.cpu_milli, used.cpu_milli) && fits(resource_limit.memory_mb, used.memory_mb) &&
+           fits(resource_limit.accelerators, used.accelerators);
+}
+
+resources half_of(const resources& resource_limit) {
+    // 0 would mean that there is no limit.
+    const auto half = [](std::int64_t limit) {
+        return limit <= 0 ? limit : std::max<std::int64_t>(limit / 2, 1);
+    };
+    return {half(resource_limit.cpu_milli), half(resource_limit.memory_mb),
+            half(resource_limit.accelerators)};
+}
+
 bool has_limit(const resources& resource_limit) {
     return resource_limit.cpu_milli > 0 || resource_limit.memory_mb > 0 || resource_limit.accelerators > 0;
 }
@@ -186,6 +203,8 @@
             return false;
         preempt_under_team_limit(at, ready, unit);
     }
+    if (may_use_idle_limit(at, ready, unit))
+        return false;
     note_held_by_limit(at, ready, unit);
     return true;
 }
@@ -198,6 +217,41 @@
             at - step_of(ready).wait.total(at)};
 }
 
+bool job_engine::may_use_idle_limit(instant at, const ready_step& ready, const resources& unit) const {
+    const auto& team = ready.job->team;
+    const auto policy = m_config->teams.find(team);
+    if (policy == m_config->teams.end() || m_teams_of_unknown_use.contains(team) ||
+        step_of(ready).wait.total(at) < min_wait_to_pass)
+        return false;
+    const auto& resource_limit = policy->second.resource_limit;
+    auto used = used_by_team(team);
+    used += unit;
+    if (!is_within(resource_limit, used))
+        return false;
+    // Once all that runs now has ended, but for what passed before.
+    auto beside = unit;
+    if (const auto passed = m_passed_at_limit.find(team); passed != m_passed_at_limit.end())
+        beside += passed->second;
+    bool overdue = true;
+    const auto accepted = from_ms(ready.job->spec.accepted_ms());
+    for (const auto* waiting : {&m_held_by_limit, &m_limit_reserved}) {
+        const auto first = waiting->find(team);
+        if (first == waiting->end())
+            continue;
+        beside += first->second.need;
+        overdue = overdue && at > first->second.due && accepted < first->second.since;
+    }
+    if (is_within(resource_limit, beside) && within_team_limit(team, unit))
+        return true;
+    return overdue && is_within(half_of(resource_limit), used);
+}
+
+void job_engine::note_passed_at_limit(target_state& target, const task_name& task) {
+    auto& run = target.runs.at(task.to_string());
+    run.passed_at_limit = true;
+    m_passed_at_limit[run.team] += run.held;
+}
+
 void job_engine::preempt_under_team_limit(instant at, const ready_step& ready, const resources& unit) {
     const auto& team = ready.job->team;
     auto& next = m_next_preemption[team];
--- a/test/engine_team_limits_test.cpp
+++ b/test/engine_team_limits_test.cpp
@@ -119,3 +119,73 @@
     INFO(described);
     CHECK(described.find("orchard: wide.0.0, it needs 100 %, 25 % are held") != std::string::npos);
 }
+
+namespace {
+
+struct waiting_pair {
+    const char* name;
+    int first;  ///< members of the gang that the limit holds back, 2 cores each
+    int second; ///< tasks of the step behind it, 1 core each
+    bool second_is_gang;
+    milliseconds goal;     ///< of the gang's queue
+    milliseconds ahead{0}; ///< how long before the gang the other step comes
+    bool starts = true;    ///< the other step does, while the gang still waits for what runs
+};
+
+} // namespace
+
+// Guards against a limit that lies idle: a step that fits under it waited behind a wider one of its team,
+// which couldn't start until other work had ended.
+TEST_CASE("a step uses the part of its team's limit that a wider one can't use yet", "[engine][caps][load]") {
+    const auto given =
+        GENERATE(waiting_pair{"beside all that the gang needs", 10, 4, false, 20s},
+                 waiting_pair{"a gang beside all that the other needs", 10, 4, true, 20s},
+                 waiting_pair{"it would delay the gang", 12, 4, false, 20s, 0ms, false},
+                 waiting_pair{"the gang is overdue and came later", 12, 4, false, 1200ms, 200ms},
+                 waiting_pair{"the gang is overdue and came first", 12, 4, false, 1200ms, 0ms, false},
+                 waiting_pair{"it needs more than half of the limit", 12, 18, true, 1200ms, 200ms, false});
+    INFO(given.name);
+    job_world world{{.targets = 24, .work = 8s, .faults = false}, 92};
+    world.set_config([&](cell_config& config) {
+        auto bulk = config.queues.at("checks");
+        bulk.name = "bulk";
+        bulk.priority = 2;
+        bulk.latency_goal = 20s;
+        config.queues["bulk"] = bulk;
+        config.queues.at("checks").priority = 1;
+        config.queues.at("checks").latency_goal = given.goal;
+        config.teams.at("orchard").resource_limit.cpu_milli = 24'000;
+    });
+    auto before = simple_job("before", {simple_step(6, 1000)});
+    before.set_queue("bulk");
+    world.submit(before);
+    world.run_for(500ms);
+    auto second = simple_step(given.second, 1000);
+    second.set_gang(given.second_is_gang);
+    auto later = simple_job("second", {second});
+    later.set_queue("bulk");
+    auto first = simple_step(given.first, 2000);
+    first.set_gang(true);
+    first.set_estimate_ms(100);
+    if (given.ahead > 0ms) {
+        world.hold_writes(true); // it isn't placed before the gang comes
+        world.submit(later);
+        world.run_for(given.ahead);
+        world.hold_writes(false);
+    }
+    world.submit(simple_job("first", {first}));
+    if (given.ahead == 0ms) {
+        world.run_for(100ms);
+        world.submit(later);
+    }
+    world.run_for(3s);
+    const auto started = [&](const std::string& job) {
+        return std::ranges::count_if(world.starts(),
+                                     [&](const std::string& each) { return each.starts_with(job); });
+    };
+    REQUIRE(started("first") == 0);
+    CHECK(started("second") == (given.starts ? given.second : 0));
+    world.run_for(30s);
+    CHECK(world.open().empty());
+    CHECK(world.violation().empty());
+}
