The oldest late work keeps its turn while passes end early

Cause: while passes end after 40 steps without capacity, they began 20 late steps further each 2 s, and the offset grew as long as the overload lasted, so that the oldest were always behind it. The new test failed before: with no step kept first, late work is overtaken by 138 of 500 jobs, 32 are allowed.

--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -397,8 +397,8 @@
     /// Whether the step may be looked at though many steps of its group found no capacity.
     [[nodiscard]] bool may_pass(const step_group& group, const pb::step_spec& spec, bool advised) const;
     [[nodiscard]] static bool has_label(const target_state& target, const pb::step_spec& spec);
-    /// Rotates the late steps, so that those at the front that find no capacity don't block the others
-    /// forever when passes end early.
+    /// Rotates the late steps but the oldest ones, so that those at the front that find no capacity don't
+    /// block the others forever when passes end early.
     void rotate_late(instant at, std::vector<ready_step>& waiting);
     /// Advances the rotation if the pass ended before it reached all steps.
     void note_pass_end(instant at, bool cut_short);
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -12,6 +12,8 @@
 constexpr int runs_per_epoch = 1000;
 /// A pass ends for a group of steps after this many that found no capacity.
 constexpr std::size_t max_steps_without_capacity = 40;
+/// This many late steps keep their turn in each pass.
+constexpr std::ptrdiff_t unrotated_steps = 10;
 /// Interval at which the late steps are rotated while passes don't reach all of them.
 constexpr milliseconds rotation_period{2000};
 /// Minimum time between passes, for each waiting step, since a pass looks at all of them; and its maximum.
@@ -148,8 +150,9 @@
     const auto is_late = [&](const ready_step& ready) {
         return !ready.sort_key->exceeds_team_rate && at > ready.sort_key->latest_useful_start;
     };
-    const auto first = std::ranges::find_if(waiting, is_late);
-    const auto last = std::find_if_not(first, waiting.end(), is_late);
+    const auto oldest = std::ranges::find_if(waiting, is_late);
+    const auto last = std::find_if_not(oldest, waiting.end(), is_late);
+    const auto first = oldest + std::min(unrotated_steps, last - oldest);
     if (first != last)
         std::rotate(first, first + static_cast<std::ptrdiff_t>(m_late_offset) % (last - first), last);
 }
--- a/test/engine_schedule_test.cpp
+++ b/test/engine_schedule_test.cpp
@@ -62,3 +62,40 @@
     CHECK(starts_of(world, "other") == 20U * static_cast<std::size_t>(other.count()));
     CHECK(world.violation().empty());
 }
+
+// Guards against accepted work that goes last for as long as an overload lasts, since it came first: passes
+// that ended early began behind the oldest late steps.
+TEST_CASE("late work on a full fleet starts in the order in which it came", "[engine][load]") {
+    constexpr int jobs = 500;
+    constexpr int places = 16; // at a time
+    job_world world{{.targets = 4, .work = 400ms, .faults = false}, 82};
+    world.set_config([](cell_config& config) { config.queues.at("checks").latency_goal = 100ms; });
+    world.run_for(100ms);
+    for (int i = 0; i < jobs; ++i) {
+        world.submit(simple_job("j" + std::to_string(i), {simple_step(1, 1000)}));
+        world.run_for(10ms);
+    }
+    world.run_for(15s);
+    REQUIRE(world.starts().size() == jobs);
+    std::vector<int> turn(jobs);
+    for (int i = 0; i < jobs; ++i) {
+        const auto& start = world.starts()[static_cast<std::size_t>(i)];
+        turn[static_cast<std::size_t>(std::stoi(start.substr(1, start.find('.') - 1)))] = i;
+    }
+    // What is in time goes first, so that late work goes after it by as much as comes in time.
+    int in_time = 0;
+    for (int i = 0; i < jobs; ++i)
+        in_time += turn[static_cast<std::size_t>(i)] < i ? 1 : 0;
+    int last = -1;
+    int overtaken = 0;
+    for (int i = 0; i < jobs; ++i) {
+        const auto at = turn[static_cast<std::size_t>(i)];
+        if (at < i)
+            continue;
+        overtaken = std::max(overtaken, last - at);
+        last = std::max(last, at);
+    }
+    CAPTURE(in_time);
+    CHECK(overtaken <= 2 * places);
+    CHECK(world.violation().empty());
+}
