--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -226,7 +226,7 @@
     const auto& resource_limit = policy->second.resource_limit;
     auto used = used_by_team(team);
     used += unit;
-    if (!is_within(resource_limit, used))
+    if (!is_within(half_of(resource_limit), used))
         return false;
     // Once all that runs now has ended, but for what passed before.
     auto beside = unit;
@@ -241,9 +241,7 @@
         beside += first->second.need;
         overdue = overdue && at > first->second.due && accepted < first->second.since;
     }
-    if (is_within(resource_limit, beside) && within_team_limit(team, unit))
-        return true;
-    return overdue && is_within(half_of(resource_limit), used);
+    return overdue || (is_within(resource_limit, beside) && within_team_limit(team, unit));
 }
 
 void job_engine::note_passed_at_limit(target_state& target, const task_name& task) {
--- a/test/engine_team_limits_test.cpp
+++ b/test/engine_team_limits_test.cpp
@@ -130,6 +130,7 @@
     milliseconds goal;     ///< of the gang's queue
     milliseconds ahead{0}; ///< how long before the gang the other step comes
     bool starts = true;    ///< the other step does, while the gang still waits for what runs
+    int before = 6;        ///< tasks that run already, 1 core each
 };
 
 } // namespace
@@ -141,6 +142,7 @@
         GENERATE(waiting_pair{"beside all that the gang needs", 10, 4, false, 20s},
                  waiting_pair{"a gang beside all that the other needs", 10, 4, true, 20s},
                  waiting_pair{"it would delay the gang", 12, 4, false, 20s, 0ms, false},
+                 waiting_pair{"half of the limit is in use", 10, 4, false, 20s, 0ms, false, 10},
                  waiting_pair{"the gang is overdue and came later", 12, 4, false, 1200ms, 200ms},
                  waiting_pair{"the gang is overdue and came first", 12, 4, false, 1200ms, 0ms, false},
                  waiting_pair{"it needs more than half of the limit", 12, 18, true, 1200ms, 200ms, false});
@@ -156,7 +158,7 @@
         config.queues.at("checks").latency_goal = given.goal;
         config.teams.at("orchard").resource_limit.cpu_milli = 24'000;
     });
-    auto before = simple_job("before", {simple_step(6, 1000)});
+    auto before = simple_job("before", {simple_step(given.before, 1000)});
     before.set_queue("bulk");
     world.submit(before);
     world.run_for(500ms);
