--- a/test/engine_team_limits_test.cpp
+++ b/test/engine_team_limits_test.cpp
@@ -142,7 +142,7 @@
         GENERATE(waiting_pair{"beside all that the gang needs", 10, 4, false, 20s},
                  waiting_pair{"a gang beside all that the other needs", 10, 4, true, 20s},
                  waiting_pair{"it would delay the gang", 12, 4, false, 20s, 0ms, false},
-                 waiting_pair{"half of the limit is in use", 10, 4, false, 20s, 0ms, false, 10},
+                 waiting_pair{"half of the limit is in use", 10, 4, false, 20s, 0ms, false, 12},
                  waiting_pair{"the gang is overdue and came later", 12, 4, false, 1200ms, 200ms},
                  waiting_pair{"the gang is overdue and came first", 12, 4, false, 1200ms, 0ms, false},
                  waiting_pair{"it needs more than half of the limit", 12, 18, true, 1200ms, 200ms, false});
