--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -56,8 +56,8 @@
     instant next_stop{};
     instant stop_confirmed{}; ///< from then on the target refuses to start this run
     std::string saved_state;
-    bool passed_at_limit =
-        false;           ///< it started before a step that goes before its own under its team's limit
+    /// It started before a step that goes before its own under its team's limit.
+    bool passed_at_limit = false;
     bool worked = false; ///< it has used resources, so it isn't waiting for the other members of its gang
     std::optional<preemption_terms> preemption;
 };
