Bound what clients can make a process hold

Callers saw: a process ran out of memory and ended when clients sent headers, trailers or chunk extensions without end, or many bodies of legal size that stopped just short of their end.

Cause: cpprestsdk's listener reads up to the end of a header, or of trailers, into a buffer without a bound, keeps bodies whole, and any number of connections for any time. A body of 256 KiB could also ask for 10 million tasks of 150 bytes.

Change: the server of src/http uses Boost.Beast's parser on cpprestsdk's thread pool; client_budget decides which connections stay. Limits for header, trailers, time, connections and bytes in hand of the whole process; the number of tasks of a job and of an owner. The gRPC servers bound messages, metadata and the handshake.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -694,6 +694,7 @@
         options.owner = m_view.owner_name();
         options.peer_address = m_options.peer_address;
         options.longest_lease = m_options.longest_lease;
+        options.max_kept_tasks = m_options.max_kept_tasks;
         partition_environment environment;
         environment.rows = m_ports.rows.get();
         environment.commands = &m_relayed;
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -485,10 +485,15 @@
         for (const auto& step : spec.steps())
             tasks += step.count();
         const auto wait = m_engine->wait_if_too_late(at, spec);
-        if (!wait && m_gate.admit(at, spec.team(), tasks))
+        const bool too_many = !wait && !m_engine->has_memory_for(at, spec);
+        if (!wait && !too_many && m_gate.admit(at, spec.team(), tasks))
             return false;
-        const auto* reason = wait ? "what is queued ahead of it takes too long" : "the owner is overloaded";
-        m_environment.counters->count("jobs_refused_total", {{"reason", wait ? "backlog" : "overload"}});
+        const auto* reason = wait       ? "what is queued ahead of it takes too long"
+                             : too_many ? "the owner has no memory for more tasks"
+                                        : "the owner is overloaded";
+        m_environment.counters->count(
+            "jobs_refused_total",
+            {{"reason", wait ? "backlog" : too_many ? "memory" : "overload"}});
         log_event(log_level::info, "job_refused",
                   {{"request", spec.id()}, {"team", spec.team()}, {"reason", reason}});
         answer(done, make_job_answer(pb::job_answer::not_run, reason,
@@ -691,6 +696,7 @@
         options.lease = lease_to_request(m_options.longest_lease);
         options.earlier_lease = m_rows.earlier_lease();
         options.longest_lease = m_options.longest_lease;
+        options.max_kept_tasks = m_options.max_kept_tasks;
         const auto lease_expiry_ms = static_cast<double>(m_rows.earlier_lease().count()) * max_clock_drift;
         // A previous owner may send commands until it notices that another node owns the partition.
         options.max_unknown_run_time = (m_rows.sole_owner() ? max_command_delay : confirmation_expiry) +
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/client_budget.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,6 +11,8 @@
 
 namespace medlarhub {
 
+class metrics;
+
 struct http_request {
     std::string method;
     std::string path; ///< percent-encoded, see `path_segments`
@@ -32,7 +36,8 @@
 using http_responder = std::function<void(http_response)>;
 using http_handler = std::function<void(http_request, http_responder)>;
 
-/// An HTTP/1.1 server on cpprestsdk.
+/// An HTTP/1.1 server with Boost.Beast's parser, on the thread pool of cpprestsdk, whose own listener reads
+/// headers, trailers and chunk extensions of any length into memory.
 class http_server {
 public:
     http_server();
@@ -40,9 +45,8 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    /// Listens on `address` (`ip:port`) and returns it. Requests that announce a body above
-    /// `max_body_bytes` get a 413 response before the body is read. Returns nothing, with the reason, when
-    /// listening fails.
+    /// Listens on `address` (`ip:port`) and returns it. Requests with a body above `max_body_bytes` get a 413
+    /// response before it is read whole. Returns nothing, with the reason, when listening fails.
     [[nodiscard]] std::optional<std::string> start(const std::string& address, std::int64_t max_body_bytes,
                                                    http_handler handler);
     void stop();
@@ -54,6 +58,10 @@
     std::unique_ptr<impl> m_impl;
 };
 
+/// Sets the limits that all HTTP servers of this process share, and where refusals are counted; the counters
+/// must outlive the servers. Call once, before the first server starts.
+void set_http_limits(const http_limits& limits, metrics* counters);
+
 /// Sets the size of the thread pool that all HTTP servers and clients of this process share. Call once, at
 /// start.
 void set_http_threads(int threads);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -2,12 +2,15 @@
 #include "jobs/queue_terms.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace medlarhub {
 
 namespace {
 
 constexpr milliseconds pass_period{100};
+/// The occurrences of a new job that are due until then have to fit into memory with it.
+constexpr milliseconds occurrences_ahead{60'000};
 /// A job that ends later than this many times its allowed time is of no use any more.
 constexpr int useful_goal_factor = 3;
 /// Covers the time from a decision to the start, and from an end until it is known.
@@ -43,8 +46,7 @@
 
 std::optional<std::string> validation_error(const pb::job_spec& spec) {
     constexpr int max_tasks = 10'000;
-    constexpr int max_steps = 1000;
-    if (spec.steps().empty() || spec.steps_size() > max_steps)
+    if (spec.steps().empty() || spec.steps_size() > max_steps_of_job)
         return "a job must have 1 to 1000 steps";
     for (int i = 0; i < spec.steps_size(); ++i) {
         const auto& step = spec.steps(i);
@@ -57,9 +59,17 @@
                 return "a step may depend on earlier steps only";
         }
     }
+    if (tasks_of(spec) > max_tasks_of_job)
+        return "a job must have at most 20000 tasks in all its steps";
     return {};
 }
 
+std::int64_t tasks_of(const pb::job_spec& spec) {
+    return std::accumulate(
+        spec.steps().begin(), spec.steps().end(), std::int64_t{0},
+        [](std::int64_t sum, const pb::step_spec& step) { return sum + std::max(step.count(), 0); });
+}
+
 job_engine::job_engine(engine_options options)
     : m_options{options}, m_config{std::make_shared<cell_config>()}, m_claims{options.retention} {}
 job_engine::~job_engine() = default;
@@ -145,6 +155,7 @@
     m_open.erase(id);
     m_timed.erase(id);
     std::erase(m_ended, id);
+    m_kept_tasks -= kept_tasks(*job);
     m_jobs.erase(id);
     return true;
 }
@@ -207,6 +218,7 @@
     const auto due = spec.times() > 0 ? due_time(spec, number) : from_ms(spec.accepted_ms());
     made.steps.resize(static_cast<std::size_t>(spec.steps_size()));
     made.open_steps = made.steps.size();
+    m_kept_tasks += tasks_of(spec);
     for (int i = 0; i < spec.steps_size(); ++i) {
         auto& step = made.steps[static_cast<std::size_t>(i)];
         step.tasks.resize(static_cast<std::size_t>(spec.steps(i).count()));
@@ -241,6 +253,20 @@
     set_ready(job, number);
 }
 
+std::int64_t job_engine::kept_tasks(const job_state& job) {
+    return tasks_of(job.spec) * static_cast<std::int64_t>(job.occurrences.size());
+}
+
+bool job_engine::has_memory_for(instant at, const pb::job_spec& spec) const {
+    if (m_options.max_kept_tasks <= 0)
+        return true;
+    // Occurrences that are overdue are opened all at once.
+    const auto until = to_ms(at + occurrences_ahead) - spec.start_at_ms();
+    const auto due = spec.interval_ms() > 0 ? until / spec.interval_ms() + 1 : spec.times();
+    const auto occurrences = std::clamp<std::int64_t>(due, 1, std::max(spec.times(), 1));
+    return m_kept_tasks + occurrences * tasks_of(spec) <= m_options.max_kept_tasks;
+}
+
 instant job_engine::latest_start(instant at, const pb::job_spec& spec) const {
     return at + allowed_turnaround_of(spec) - critical_path(spec) - command_time;
 }
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -36,6 +36,7 @@
     milliseconds retention{135'000};      ///< how long an ended job can be queried
     milliseconds earlier_lease{0};        ///< the longest lease that earlier owners requested
     milliseconds max_unknown_run_time{0}; ///< after a takeover, how long an unreachable target may run tasks
+    std::int64_t max_kept_tasks = 0; ///< of all jobs, open or ended, that new ones may bring it to; 0: any
 };
 
 /// The scheduler of one partition: accepts jobs, places their tasks on targets, tracks the runs and ends the
@@ -75,6 +76,8 @@
 
     // Callers.
     accept_outcome accept(instant at, pb::job_spec spec);
+    /// Whether the tasks of one more job fit into the memory that is set aside for them.
+    [[nodiscard]] bool has_memory_for(instant at, const pb::job_spec& spec) const;
     /// Returns the time that the work queued before this job takes, in the partition or under its team's
     /// limit, if the job would end too late to be of any use.
     [[nodiscard]] std::optional<milliseconds> wait_if_too_late(instant at, const pb::job_spec& spec) const;
@@ -250,6 +253,7 @@
     /// queue's goal.
     [[nodiscard]] milliseconds allowed_turnaround_of(const pb::job_spec& spec) const;
     [[nodiscard]] std::int64_t usable_cpu_milli(instant at) const;
+    [[nodiscard]] static std::int64_t kept_tasks(const job_state& job);
     void open_due_occurrences(instant at, job_state& job);
     [[nodiscard]] static instant due_time(const pb::job_spec& spec, int occurrence);
     void set_ready(job_state& job, int occurrence);
@@ -494,6 +498,7 @@
     std::map<std::string, step_at_limit> m_limit_reserved;
     std::map<std::string, rate_allowance> m_rates;
     std::deque<std::string> m_ended; ///< by time of their end
+    std::int64_t m_kept_tasks = 0;   ///< of all jobs in memory
 
     id_claims m_claims;
     std::vector<advice_request> m_advice_requests;
@@ -569,6 +574,13 @@
     std::uint64_t m_raised_before = 0;
 };
 
+constexpr int max_steps_of_job = 1000;
+/// Each task takes some 150 bytes of the owner's memory, while a request of 20 bytes can ask for 10,000.
+constexpr std::int64_t max_tasks_of_job = 20'000;
+
+/// The number of tasks in all steps.
+std::int64_t tasks_of(const pb::job_spec& spec);
+
 /// Why a job spec is invalid; nothing if it is valid.
 std::optional<std::string> validation_error(const pb::job_spec& spec);
 
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -289,6 +289,7 @@
                 job->durable_version < job->version)
                 return;
             m_rows_to_delete.push_back(m_ended.front());
+            m_kept_tasks -= kept_tasks(*job);
             m_jobs.erase(m_ended.front());
         }
         m_ended.pop_front();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,6 +40,10 @@
     start_log(parsed.node, parsed.data_centre, parsed.log_level);
     set_http_threads(parsed.http_threads);
     node served{parsed};
+    http_limits client_limits;
+    client_limits.connections = static_cast<std::size_t>(parsed.max_connections);
+    client_limits.buffered_bytes = parsed.max_buffered_bytes;
+    set_http_limits(client_limits, &served.counters());
     caller_api callers{served};
     operator_api operators{served};
     http_server server;
--- a/src/peers/cell_peers.cpp
+++ b/src/peers/cell_peers.cpp
@@ -1,6 +1,7 @@
 #include "peers/cell_peers.h"
 
 #include "peers/peer_calls.h"
+#include "peers/server_limits.h"
 
 #include "medlarhub/reason.h"
 
@@ -98,6 +99,7 @@
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, shortest_ping_ms);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    set_server_limits(builder);
     builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
     builder.RegisterService(&m_impl->m_service);
     m_impl->m_server = builder.BuildAndStart();
--- a/src/peers/peer_server.cpp
+++ b/src/peers/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "peers/peer_server.h"
 
 #include "peers/peer_calls.h"
+#include "peers/server_limits.h"
 
 #include "medlarhub/reason.h"
 
@@ -88,6 +89,7 @@
         grpc::ServerBuilder builder;
         int port = 0;
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        set_server_limits(builder);
         builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
         builder.RegisterService(this);
         m_server = builder.BuildAndStart();
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -42,6 +42,9 @@
 void read_limits(ini_reader& reader, settings& to) {
     to.http_threads = static_cast<int>(reader.integer("limits", "http_threads", 2, 64, to.http_threads));
     to.max_body_bytes = reader.integer("limits", "max_body_bytes", 1024, 16 << 20, to.max_body_bytes);
+    to.max_connections = reader.integer("limits", "max_connections", 16, 1'000'000, to.max_connections);
+    to.max_buffered_bytes =
+        reader.integer("limits", "max_buffered_bytes", 1 << 20, std::int64_t{1} << 40, to.max_buffered_bytes);
     to.max_waiting = reader.integer("limits", "max_waiting", 1, 1'000'000, to.max_waiting);
     to.max_connections_per_target =
         reader.integer("limits", "connections_per_target", 1, 60, to.max_connections_per_target);
