--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -567,7 +567,7 @@
 
     void report_advice() {
         const auto statistics = m_engine->take_advice_statistics(now());
-        for (const auto& [queue, load] : statistics.queues)
+        for (const auto& [queue, load] : statistics.queues) {
             log_event(log_level::info, "advice_load",
                       {{"partition", std::to_string(m_options.number)},
                        {"nodes", std::to_string(statistics.nodes)},
@@ -577,6 +577,7 @@
                        {"ms", std::to_string(load.time.count())},
                        {"targets", std::to_string(load.targets)},
                        {"good", std::to_string(load.good)}});
+        }
     }
 
     void report_run_times() {
--- a/src/http/client_budget.h
+++ b/src/http/client_budget.h
@@ -13,7 +13,8 @@
 /// Limits on what clients may make this process hold. All HTTP servers of a process share them. The defaults
 /// are above what a client within the documented limits of the API needs.
 struct http_limits {
-    std::size_t header_bytes = 64 * 1024; ///< request line and header; also trailers and chunk extensions
+    std::size_t header_bytes =
+        std::size_t{64} * 1024; ///< request line and header; also trailers and chunk extensions
     std::size_t connections = 1024;
     std::int64_t buffered_bytes = 32 << 20; ///< of all requests, beyond `small_request_bytes` of each
     milliseconds header_time{10'000};       ///< from the first byte of a header to its end
@@ -27,7 +28,7 @@
 
 /// The part of each request that doesn't count against the budget, so that small requests are served while
 /// large ones use it up. The limit on connections covers it.
-constexpr std::int64_t small_request_bytes = 16 * 1024;
+constexpr std::int64_t small_request_bytes = std::int64_t{16} * 1024;
 
 using connection_id = std::uint64_t;
 
--- a/src/jobs/run_time_model.cpp
+++ b/src/jobs/run_time_model.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t max_queues = 64;
 constexpr std::size_t max_teams = 64;
 /// A row of the table holds 64 KiB; corrections of teams beyond this are learnt again.
-constexpr std::size_t max_row_bytes = 32 * 1024;
+constexpr std::size_t max_row_bytes = std::size_t{32} * 1024;
 constexpr double min_variance = 0.0025;
 constexpr double max_variance = 4;
 /// Bounds what a single step may be corrected by, and what is expected at all.
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -134,6 +134,15 @@
     REQUIRE(boot);
     CHECK(boot->peer_address == "10.1.0.17:7420");
     CHECK(boot->peer_seeds == std::vector<std::string>{"10.2.0.15:7420"});
+    CHECK(boot->memory_mb == 0);
+    CHECK(boot->learned_run_times);
+    const auto limited = platform::parse_boot_settings(replaced(
+        good, R"("new")",
+        R"("limits":{"memory_mb":160,"max_fds":4100},"scheduling":{"learned_run_times":false},"new")"));
+    REQUIRE(limited);
+    CHECK(limited->memory_mb == 160);
+    CHECK(limited->descriptors == 4100);
+    CHECK_FALSE(limited->learned_run_times);
     for (const auto* missing : {"\"node\"", "\"ip\"", "\"front\"", "\"addr\"", "\"port_range\""})
         CHECK_FALSE(platform::parse_boot_settings(replaced(good, missing, "\"other\"")));
 }
--- a/test/run_time_model_test.cpp
+++ b/test/run_time_model_test.cpp
@@ -146,7 +146,7 @@
                       1000ms, 2000ms, step);
     }
     CHECK(model.errors().size() <= 64);
-    CHECK(model.to_row().ByteSizeLong() < 48 * 1024);
+    CHECK(model.to_row().ByteSizeLong() < std::size_t{48} * 1024);
 }
 
 // Guards against predictions that are learnt but not used, and that a takeover loses.
