--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -106,7 +106,7 @@
         const web::uri uri{target};
         request.path = uri.path();
         (void)path_segments(request.path); // throws if an escape is invalid
-        const auto query = uri.query();
+        const auto& query = uri.query();
         if (std::ranges::count(query, '&') + std::ranges::count(query, ';') > max_query_parameters)
             return false;
         for (const auto& [key, value] : web::uri::split_query(query))
