Reserve a body's announced length again

Cause: since a body's string grew by doubling, and the halves that it left are holes in the heap. The capacity counts against the budget, so reserving the announced length counts it whole from the start.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -81,7 +81,11 @@
         m_field_bytes += name.size() + value.size() + bytes_of_field;
     }
     void on_header_impl(error_code& /*error*/) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*error*/) override {
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& /*error*/) override {
+        // A string that grows by doubling leaves holes in the heap: many bodies at once took more than they
+        // hold.
+        if (length)
+            m_request.body.reserve(*length);
     }
     std::size_t on_body_impl(text body, error_code& /*error*/) override {
         m_request.body.append(body.data(), body.size());
