Share a full partition by weight and dominant resource

Callers of small teams waited behind a team that kept its rate of jobs but sent jobs eight times as large: weights were a rate of jobs only. Steps that begin once their team has its weighted max-min share go behind others of their class; with demand below the capacity nobody is limited, so nothing changes.

--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -696,6 +696,7 @@
         options.longest_lease = m_options.longest_lease;
         options.max_kept_tasks = m_options.max_kept_tasks;
         options.learned_run_times = m_options.learned_run_times;
+        options.fair_shares = m_options.fair_shares;
         partition_environment environment;
         environment.rows = m_ports.rows.get();
         environment.commands = &m_relayed;
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <ranges>
 #include <thread>
 
 namespace medlarhub {
@@ -43,6 +44,7 @@
 constexpr milliseconds longest_retry{5000};
 constexpr milliseconds report_period{1000};
 constexpr milliseconds run_time_report_period{5000};
+constexpr std::ptrdiff_t max_shares_reported = 5;
 /// Longer waits are logged each second while most of the CPU capacity is free.
 constexpr milliseconds reported_wait{3000};
 /// A load that another partition reported is used for this long.
@@ -560,6 +562,7 @@
         report_wait(statistics);
         report_advice();
         report_run_times();
+        report_shares();
         m_environment.counters->set("open_jobs", static_cast<double>(statistics.open_jobs));
         m_environment.counters->set("waiting_tasks", static_cast<double>(statistics.waiting_tasks));
         m_environment.counters->set("held_cores", static_cast<double>(statistics.held_cpu_milli) / 1000);
@@ -580,6 +583,18 @@
         }
     }
 
+    void report_shares() {
+        const auto teams = m_engine->shares_of_teams();
+        m_environment.counters->set("teams_at_fair_share", static_cast<double>(teams.size()));
+        for (const auto& team : teams | std::views::take(max_shares_reported))
+            log_event(log_level::info, "team_share",
+                      {{"partition", std::to_string(m_options.number)},
+                       {"team", team.team},
+                       {"weight", std::to_string(team.weight)},
+                       {"used", std::to_string(team.used)},
+                       {"fair", std::to_string(team.fair)}});
+    }
+
     void report_run_times() {
         const auto at = now();
         if (at < m_next_run_time_report)
@@ -735,6 +750,7 @@
         options.longest_lease = m_options.longest_lease;
         options.max_kept_tasks = m_options.max_kept_tasks;
         options.learned_run_times = m_options.learned_run_times;
+        options.fair_shares = m_options.fair_shares;
         const auto lease_expiry_ms = static_cast<double>(m_rows.earlier_lease().count()) * max_clock_drift;
         // A previous owner may send commands until it notices that another node owns the partition.
         options.max_unknown_run_time = (m_rows.sole_owner() ? max_command_delay : confirmation_expiry) +
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -4,6 +4,7 @@
 #include "jobs/capacity_balance.h"
 #include "jobs/cell_config.h"
 #include "jobs/engine_messages.h"
+#include "jobs/fair_shares.h"
 #include "jobs/gang_capacity.h"
 #include "jobs/run_time_model.h"
 #include "jobs/step_advice.h"
@@ -39,6 +40,7 @@
     milliseconds earlier_lease{0};        ///< the longest lease that earlier owners requested
     milliseconds max_unknown_run_time{0}; ///< after a takeover, how long an unreachable target may run tasks
     bool learned_run_times = true;        ///< whether ended runs teach what to expect of others
+    bool fair_shares = true;         ///< whether teams of unequal weight share a full partition by weight
     std::int64_t max_kept_tasks = 0; ///< of all jobs, open or ended, that new ones may bring it to; 0: any
 };
 
@@ -156,6 +158,9 @@
     [[nodiscard]] engine_statistics count() const;
     /// For the log: how far the estimates and the predictions of run times were off, by queue.
     [[nodiscard]] std::vector<run_time_errors> errors_of_run_times() const { return m_run_times.errors(); }
+    /// The teams that can't have all they want of the full partition, as of the last pass, those furthest
+    /// from their share first. Empty while the partition isn't full, or is not shared by weight.
+    [[nodiscard]] std::vector<team_share> shares_of_teams() const;
     /// The step that has waited longest.
     [[nodiscard]] std::optional<longest_step_wait> longest_wait(instant at) const;
 
@@ -250,7 +255,8 @@
         int occurrence = 0;
         int step = 0;
         const step_sort_key* sort_key = nullptr;
-        step_group* group = nullptr; ///< set while the pass considers the step
+        bool exceeds_fair_share = false; ///< its team has its share without it
+        step_group* group = nullptr;     ///< set while the pass considers the step
     };
 
     using target_set = std::unordered_set<const target_state*>;
@@ -407,6 +413,16 @@
     /// if other gangs already do so, or if the targets that are good for it couldn't hold it even when empty.
     bool reserve_targets(const ready_step& ready, bool advised, target_set& reserved);
 
+    // engine_fair_shares.cpp: shares of a full partition.
+    [[nodiscard]] resources usable_capacity(instant at) const;
+    [[nodiscard]] std::map<std::string, team_demand>
+    demands_of_teams(instant at, const std::vector<ready_step>& waiting) const;
+    /// What the queued tasks of the step need.
+    [[nodiscard]] static resources needed_by(const ready_step& ready);
+    /// Puts the steps of teams that have their fair share behind others of the same class. Steps of one team
+    /// stay in order.
+    void order_by_fair_share(instant at, std::vector<ready_step>& waiting);
+
     // engine_advice.cpp: advice on which targets are good for a step.
     /// Whether the step can do nothing now but wait for tickets, or for a free relay to request them.
     bool waits_for_advice(instant at, const ready_step& ready);
@@ -484,6 +500,8 @@
     /// the limit is granted in queue order, so that small steps don't keep large ones waiting forever.
     bool is_held_by_team_limit(instant at, const ready_step& ready, const resources& unit);
     [[nodiscard]] step_at_limit at_limit(instant at, const ready_step& ready, const resources& unit) const;
+    /// `used`, at most the team's limit.
+    [[nodiscard]] resources within_limit_of(const std::string& team, const resources& used) const;
     /// What the team holds, with what may run unheard.
     [[nodiscard]] resources used_by_team(const std::string& team) const;
     /// Whether the unit may use a part of the limit that earlier steps of its team wait for and can't use
@@ -533,8 +551,11 @@
     /// of the limit is withheld from later work, which would otherwise use it up before there is capacity.
     std::map<std::string, step_at_limit> m_limit_reserved;
     std::map<std::string, rate_allowance> m_rates;
-    std::deque<std::string> m_ended; ///< by time of their end
-    std::int64_t m_kept_tasks = 0;   ///< of all jobs in memory
+    bool m_shares_by_weight = false;             ///< the configured weights call for it
+    std::map<std::string, double> m_fair_shares; ///< by team, as of the last pass; see `fair_shares`
+    resources m_shared_capacity;                 ///< that these are shares of
+    std::deque<std::string> m_ended;             ///< by time of their end
+    std::int64_t m_kept_tasks = 0;               ///< of all jobs in memory
 
     run_time_model m_run_times;
     instant m_next_run_times_write{};
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -129,6 +129,14 @@
     std::vector<id_claims::row> claims;
 };
 
+/// A team that can't have all it wants of a full partition, as parts of the capacity.
+struct team_share {
+    std::string team;
+    double weight = 1;
+    double used = 0; ///< its dominant share now
+    double fair = 0; ///< the dominant share that it is due
+};
+
 /// A scheduling decision, for the log.
 struct engine_event {
     std::string what;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -54,6 +54,7 @@
     std::ranges::stable_sort(waiting, [&](const ready_step& left, const ready_step& right) {
         return goes_before(at, *left.sort_key, *right.sort_key);
     });
+    order_by_fair_share(at, waiting);
     rotate_late(at, waiting);
     // Capacity freed for a gang is withheld from steps ahead of it too; otherwise it would have to be freed
     // again.
--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -122,6 +122,18 @@
            fits(resource_limit.accelerators, held.accelerators, need.accelerators);
 }
 
+resources job_engine::within_limit_of(const std::string& team, const resources& used) const {
+    const auto policy = m_config->teams.find(team);
+    if (policy == m_config->teams.end())
+        return used;
+    const auto& limit = policy->second.resource_limit;
+    const auto least = [](std::int64_t amount, std::int64_t most) {
+        return most <= 0 ? amount : std::min(amount, most);
+    };
+    return {least(used.cpu_milli, limit.cpu_milli), least(used.memory_mb, limit.memory_mb),
+            least(used.accelerators, limit.accelerators)};
+}
+
 resources job_engine::used_by_team(const std::string& team) const {
     const auto held = m_held.find(team);
     auto used = held == m_held.end() ? resources{} : held->second;
--- a/src/jobs/waiting_order.cpp
+++ b/src/jobs/waiting_order.cpp
@@ -20,10 +20,15 @@
 
 } // namespace
 
+std::tuple<bool, bool, int> order_class_of(instant at, const step_sort_key& step) {
+    return {step.exceeds_team_rate, lateness(at, step) == 2, step.priority};
+}
+
 bool goes_before(instant at, const step_sort_key& left, const step_sort_key& right) {
-    return std::tuple{left.exceeds_team_rate, lateness(at, left) == 2, left.priority, lateness(at, left),
-                      left.due} < std::tuple{right.exceeds_team_rate, lateness(at, right) == 2,
-                                             right.priority, lateness(at, right), right.due};
+    const auto rank = [&](const step_sort_key& step) {
+        return std::tuple{order_class_of(at, step), lateness(at, step), step.due};
+    };
+    return rank(left) < rank(right);
 }
 
 double rate_allowance::saved(instant at, double per_second) const {
