Reach open jobs without a lookup by id

The set of open ids now leads to the jobs. No behaviour changes; the engine's tests and random worlds cover it. The gain was not measured by itself.

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -113,7 +113,7 @@
     job.team = spec.team();
     job.spec = std::move(spec);
     job.exceeds_team_rate = exceeds_team_rate;
-    m_open.insert(id);
+    m_open.emplace(id, &job);
     if (job.spec.times() > 0) {
         m_timed.insert(id);
         open_due_occurrences(at, job);
@@ -182,8 +182,8 @@
 }
 
 std::int64_t job_engine::pending(const std::string& queue) const {
-    return std::ranges::count_if(m_open, [&](const std::string& id) {
-        const auto& job = m_jobs.at(id);
+    return std::ranges::count_if(m_open, [&](const auto& open) {
+        const job_state& job = *open.second;
         return !job.started && job.queue == queue && job.durable_version > 0;
     });
 }
@@ -427,8 +427,8 @@
 
 std::optional<longest_step_wait> job_engine::longest_wait(instant at) const {
     std::optional<longest_step_wait> found;
-    for (const auto& id : m_open) {
-        for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+    for (const auto& [id, job] : m_open) {
+        for (const auto& [number, occurrence] : job->occurrences) {
             for (const auto& step : occurrence.steps) {
                 const auto time = step.wait.total(at);
                 if (step.wait.cause() != wait_cause::none && (!found || time > found->time))
@@ -450,8 +450,8 @@
         made.held_cpu_milli += target.held.cpu_milli;
         made.capacity_cpu_milli += target.entry.capacity.cpu_milli;
     }
-    for (const auto& id : m_open) {
-        for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+    for (const auto& [id, job] : m_open) {
+        for (const auto& [number, occurrence] : job->occurrences) {
             for (const auto& step : occurrence.steps) {
                 if (!step.ready)
                     continue;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -528,8 +528,8 @@
     bool m_attempts_changed = false;             ///< the configuration changed since the last pass
     std::set<std::string> m_drained;
     std::unordered_map<std::string, job_state> m_jobs;
-    std::set<std::string> m_open;
-    std::set<std::string> m_timed; ///< open jobs with future occurrences
+    std::map<std::string, job_state*> m_open; ///< in order of ids, so that passes are repeatable
+    std::set<std::string> m_timed;            ///< open jobs with future occurrences
     std::map<std::string, target_state> m_targets;
     std::set<task_name> m_orphaned_tasks;        ///< as of the last pass
     std::set<std::string> m_unconfirmed_targets; ///< of the roster, not contacted since the takeover
--- a/src/jobs/engine_advice.cpp
+++ b/src/jobs/engine_advice.cpp
@@ -221,8 +221,8 @@
 }
 
 void job_engine::forget_advice(const std::string& target) {
-    for (const auto& id : m_open) {
-        for (auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+    for (const auto& [id, job] : m_open) {
+        for (auto& [number, occurrence] : job->occurrences) {
             for (auto& step : occurrence.steps)
                 step.advice.forget(target);
         }
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -176,11 +176,10 @@
 void job_engine::end_jobs_without_attempts(instant at) {
     if (!std::exchange(m_attempts_changed, false))
         return;
-    const std::vector<std::string> open{m_open.begin(), m_open.end()};
-    for (const auto& id : open) {
-        auto& job = m_jobs.at(id);
-        if (has_no_attempts_left(job))
-            end_job(at, job, pb::job_progress::failed);
+    const auto open = m_open;
+    for (const auto& [id, job] : open) {
+        if (has_no_attempts_left(*job))
+            end_job(at, *job, pb::job_progress::failed);
     }
 }
 
@@ -282,13 +281,12 @@
     if (!m_recovering || at < m_next_gang_check)
         return;
     m_next_gang_check = at + gang_check_period;
-    for (const auto& id : m_open) {
-        auto& job = m_jobs.at(id);
-        const auto& steps = job.spec.steps();
+    for (const auto& [id, job] : m_open) {
+        const auto& steps = job->spec.steps();
         const bool gangs =
             std::any_of(steps.begin(), steps.end(), [](const auto& step) { return step.gang(); });
-        if (job.unconfirmed && gangs)
-            stop_partial_gangs(at, job);
+        if (job->unconfirmed && gangs)
+            stop_partial_gangs(at, *job);
     }
 }
 
@@ -307,12 +305,11 @@
         return;
     m_recovering = false;
     add_event("runs_known", {}, std::to_string(not_reached) + " targets not reached");
-    for (const auto& id : m_open) {
-        auto& job = m_jobs.at(id);
-        if (!job.unconfirmed)
+    for (const auto& [id, job] : m_open) {
+        if (!job->unconfirmed)
             continue;
-        job.unconfirmed = false;
-        stop_partial_gangs(at, job);
+        job->unconfirmed = false;
+        stop_partial_gangs(at, *job);
     }
     m_changed = true;
 }
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -61,7 +61,7 @@
             continue;
         }
         job.unconfirmed = true;
-        m_open.insert(id);
+        m_open.emplace(id, &job);
         const auto row = progress.find(id);
         if (row != progress.end()) {
             for (const auto& occurrence : row->second.occurrences())
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -189,8 +189,8 @@
 std::vector<job_engine::ready_step> job_engine::collect_waiting(instant at) {
     std::vector<ready_step> waiting;
     const bool write_is_slow = m_rows_in_write && at - m_rows_taken > max_usual_write;
-    for (const auto& id : m_open) {
-        auto& job = m_jobs.at(id);
+    for (const auto& [id, open] : m_open) {
+        auto& job = *open;
         for (auto& [number, occurrence] : job.occurrences) {
             if (occurrence.open_steps == 0)
                 continue;
--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -76,8 +76,8 @@
         const auto target = m_targets.find(id);
         capacity += target == m_targets.end() ? largest : target->second.entry.capacity;
     }
-    for (const auto& id : m_open) {
-        const auto& job = m_jobs.at(id);
+    for (const auto& [id, open] : m_open) {
+        const auto& job = *open;
         if (!job.unconfirmed)
             continue;
         for (const auto& [number, occurrence] : job.occurrences) {
