--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -437,9 +437,8 @@
     /// those without advice; each by most free capacity.
     std::vector<target_state*> useful_targets(instant at, const ready_step& ready,
                                               std::vector<target_state*> candidates);
-    /// As many targets as a gang is expected to need. While it has no capacity, returns other targets as
-    /// well, until enough for the gang twice over are known to be good: the more of them, the sooner enough
-    /// are free at the same time.
+    /// As many targets as a gang is expected to need. While it has no capacity, returns all other targets as
+    /// well: the more targets are known to be good, the sooner enough of them are free at the same time.
     std::vector<target_state*> useful_targets_for_gang(const ready_step& ready,
                                                        const std::vector<target_state*>& candidates);
     /// Targets without advice for the step, most free capacity first, as many as one request may name.
--- a/src/jobs/engine_advice.cpp
+++ b/src/jobs/engine_advice.cpp
@@ -175,9 +175,6 @@
     }
     if (expected >= wanted || (good_capacity < wanted && asked > 0))
         return useful;
-    // Once enough good targets are known, only their capacity is missing, and no request brings that about.
-    if (good_capacity >= capacity_margin * wanted)
-        return {};
     return unknown_targets(step, suitable);
 }
 
--- a/test/engine_gangs_test.cpp
+++ b/test/engine_gangs_test.cpp
@@ -55,28 +55,6 @@
     CHECK(world.violation().empty());
 }
 
-// Guards against gangs that wait for capacity and use up the advice service with requests that help none to
-// start.
-TEST_CASE("a gang that knows enough good targets asks for no others while none has room",
-          "[engine][advice][load]") {
-    job_world world{{.targets = 130, .work = 8s, .faults = false, .good_one_in = 2}, 71};
-    world.set_config([](cell_config& config) {
-        auto& queue = config.queues.at("checks");
-        queue.latency_goal = 20s;
-        queue.advice = advice_policy{std::chrono::milliseconds{520}, std::chrono::milliseconds{7}, 2000ms};
-    });
-    world.owner().set_advice_relays({"n0", "n1", "n2", "n3"});
-    world.submit(bulk_job("orchard", "early", simple_step(260, 1500)));
-    world.run_for(500ms);
-    REQUIRE(starts_of(world, "early") == 260);
-    world.submit(job_of("orchard", "gang", gang_of(5, 3000)));
-    world.run_for(6s);
-    CHECK(world.owner().take_advice_statistics(world.at()).queues.at("checks").targets == 100);
-    world.run_for(5s);
-    CHECK(starts_of(world, "gang") == 5);
-    CHECK(world.violation().empty());
-}
-
 TEST_CASE("later work of its team doesn't take the limit from a gang that waits for room", "[engine][caps]") {
     job_world world{{.targets = 5, .work = 3s}, 72};
     world.set_config([](cell_config& config) {
