--- a/src/jobs/fair_shares.cpp
+++ b/src/jobs/fair_shares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <span>
 #include <vector>
 
 namespace medlarhub {
@@ -32,7 +33,7 @@
 };
 
 /// The level at which a resource is used up, if of those teams each gets its weight times the level.
-template <typename Teams> double level_for(const Teams& teams, double left, double wanted_parts::*part) {
+double level_for(std::span<const wanted_parts> teams, double left, double wanted_parts::*part) {
     double per_level = 0;
     for (const auto& team : teams)
         per_level += team.weight * (team.*part) / team.dominant;
@@ -67,7 +68,7 @@
     auto first = open.begin();
     double level = 0;
     for (; first != open.end(); ++first) {
-        const std::ranges::subrange rest{first, open.end()};
+        const std::span<const wanted_parts> rest{first, open.end()};
         level = std::min({level_for(rest, cpu, &wanted_parts::cpu),
                           level_for(rest, memory, &wanted_parts::memory),
                           level_for(rest, accelerators, &wanted_parts::accelerators)});
