Make fair shares opt-in

Teams' weights differ on every deployment seen, also on those that have been served without shares for long, so the condition "where weights differ" turned shares on for all of them.

--- a/src/cell/cell_node.h
+++ b/src/cell/cell_node.h
@@ -22,7 +22,7 @@
     int partitions = 0;               ///< 0: by the number of targets when the cell first starts
     milliseconds longest_lease{6000}; ///< longest lease that targets grant
     bool learned_run_times = true;    ///< whether ended runs teach what to expect of others
-    bool fair_shares = true;          ///< whether teams of unequal weight share a full partition by weight
+    bool fair_shares = false;         ///< whether teams share a full partition by weight
     std::int64_t max_kept_tasks = 0;  ///< of all jobs of a partition in memory; 0: any number
 };
 
--- a/src/cell/owned_partition.h
+++ b/src/cell/owned_partition.h
@@ -30,7 +30,7 @@
     std::string peer_address;
     milliseconds longest_lease{6000}; ///< longest lease that targets grant
     bool learned_run_times = true;    ///< whether ended runs teach what to expect of others
-    bool fair_shares = true;          ///< whether teams of unequal weight share a full partition by weight
+    bool fair_shares = false;         ///< whether teams share a full partition by weight
     std::int64_t max_kept_tasks = 0;  ///< of all jobs in memory that new ones may bring it to; 0: any
 };
 
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -63,7 +63,6 @@
 
 void job_engine::set_config(std::shared_ptr<const cell_config> config) {
     m_config = with_removed_policies(*config, *m_config);
-    m_shares_by_weight = m_options.fair_shares && has_unequal_weights(*config);
     m_attempts_changed = true;
     m_changed = true;
 }
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -40,7 +40,7 @@
     milliseconds earlier_lease{0};        ///< the longest lease that earlier owners requested
     milliseconds max_unknown_run_time{0}; ///< after a takeover, how long an unreachable target may run tasks
     bool learned_run_times = true;        ///< whether ended runs teach what to expect of others
-    bool fair_shares = true;         ///< whether teams of unequal weight share a full partition by weight
+    bool fair_shares = false;             ///< whether teams share a full partition by weight
     std::int64_t max_kept_tasks = 0; ///< of all jobs, open or ended, that new ones may bring it to; 0: any
 };
 
@@ -551,7 +551,6 @@
     /// of the limit is withheld from later work, which would otherwise use it up before there is capacity.
     std::map<std::string, step_at_limit> m_limit_reserved;
     std::map<std::string, rate_allowance> m_rates;
-    bool m_shares_by_weight = false;             ///< the configured weights call for it
     std::map<std::string, double> m_fair_shares; ///< by team, as of the last pass; see `fair_shares`
     resources m_shared_capacity;                 ///< that these are shares of
     std::deque<std::string> m_ended;             ///< by time of their end
--- a/src/jobs/engine_fair_shares.cpp
+++ b/src/jobs/engine_fair_shares.cpp
@@ -46,7 +46,7 @@
 
 void job_engine::order_by_fair_share(instant at, std::vector<ready_step>& waiting) {
     m_fair_shares.clear();
-    if (!m_shares_by_weight)
+    if (!m_options.fair_shares)
         return;
     m_shared_capacity = usable_capacity(at);
     m_fair_shares = fair_shares(demands_of_teams(at, waiting), m_shared_capacity);
--- a/src/jobs/fair_shares.cpp
+++ b/src/jobs/fair_shares.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr double unequal_ratio = 2;
 /// For rounding: a team that gets all but this much of its demand has all that it wants.
 constexpr double tolerance = 1e-9;
 
@@ -84,18 +83,6 @@
     return shares;
 }
 
-bool has_unequal_weights(const cell_config& config) {
-    double least = std::numeric_limits<double>::infinity();
-    double most = 0;
-    for (const auto& [name, team] : config.teams) {
-        if (team.jobs_per_second <= 0)
-            continue;
-        least = std::min(least, team.jobs_per_second);
-        most = std::max(most, team.jobs_per_second);
-    }
-    return most >= unequal_ratio * least;
-}
-
 double weight_of(const cell_config& config, const std::string& team) {
     const auto policy = config.teams.find(team);
     return policy == config.teams.end() || policy->second.jobs_per_second <= 0
--- a/src/jobs/fair_shares.h
+++ b/src/jobs/fair_shares.h
@@ -24,11 +24,7 @@
 std::map<std::string, double> fair_shares(const std::map<std::string, team_demand>& teams,
                                           const resources& capacity);
 
-/// Whether the teams' job rates, which serve as their weights, differ by a factor of two or more. Shares are
-/// enforced only then: with equal weights, the order of the queue treats the teams alike.
-bool has_unequal_weights(const cell_config& config);
-
-/// The weight of a team; without a configured rate it counts as a small one.
+/// The weight of a team: its job rate. Without a configured one it counts as a small team.
 double weight_of(const cell_config& config, const std::string& team);
 
 } // namespace medlarhub
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -73,6 +73,7 @@
 
 void job_world::take_over() {
     engine_options made;
+    made.fair_shares = m_options.fair_shares;
     // A write in flight when its owner dies may or may not be carried out.
     const auto out = std::exchange(m_rows_in_write, std::nullopt);
     if (out && m_random() % 2 == 0)
