Let clang-tidy read the report of shares

The first teams are now taken by a span; the log line is the same, so no new test. Before, clang-tidy ended with an error in that file; now it is clean.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -10,10 +10,11 @@
 
 #include "medlarhub/reason.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
-#include <ranges>
+#include <span>
 #include <thread>
 
 namespace medlarhub {
@@ -44,7 +45,7 @@
 constexpr milliseconds longest_retry{5000};
 constexpr milliseconds report_period{1000};
 constexpr milliseconds run_time_report_period{5000};
-constexpr std::ptrdiff_t max_shares_reported = 5;
+constexpr std::size_t max_shares_reported = 5;
 /// Longer waits are logged each second while most of the CPU capacity is free.
 constexpr milliseconds reported_wait{3000};
 /// A load that another partition reported is used for this long.
@@ -586,13 +587,15 @@
     void report_shares() {
         const auto teams = m_engine->shares_of_teams();
         m_environment.counters->set("teams_at_fair_share", static_cast<double>(teams.size()));
-        for (const auto& team : teams | std::views::take(max_shares_reported))
+        const auto reported = std::min(teams.size(), max_shares_reported);
+        for (const auto& team : std::span{teams}.first(reported)) {
             log_event(log_level::info, "team_share",
                       {{"partition", std::to_string(m_options.number)},
                        {"team", team.team},
                        {"weight", std::to_string(team.weight)},
                        {"used", std::to_string(team.used)},
                        {"fair", std::to_string(team.fair)}});
+        }
     }
 
     void report_run_times() {
