Estimate the wait of a new job in queue order

The wait now counts the classes of work that go before the job (order_class_of), as the wait under a team's limit did.

job_engine_test "the wait of a new job follows the order of the queue" failed in two of its five rows before ("before work beyond another team's rate", "more urgent but beyond its rate").

--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -242,18 +242,24 @@
     return capacity;
 }
 
+step_sort_key job_engine::sort_key_of_new(instant at, const pb::job_spec& spec, int priority) const {
+    return {!within_rate(at, spec.team()), priority, latest_start(at, spec), instant::max()};
+}
+
 std::optional<milliseconds> job_engine::wait_if_too_late(instant at, const pb::job_spec& spec) const {
     const auto queue = m_config->queues.find(spec.queue());
     if (queue == m_config->queues.end() || spec.times() > 0)
         return {};
+    const auto sort_key = sort_key_of_new(at, spec, queue->second.priority);
+    const auto own_class = order_class_of(at, sort_key);
     double ahead = 0;
-    for (const auto& [priority, work] : m_backlog)
-        ahead += priority <= queue->second.priority ? work : 0;
+    for (const auto& [work_class, work] : m_backlog)
+        ahead += work_class <= own_class ? work : 0;
     const auto capacity = usable_cpu_milli(at);
     if (capacity == 0)
         return {}; // no target is known to be usable yet
     const milliseconds in_all{static_cast<std::int64_t>(ahead / static_cast<double>(capacity))};
-    const auto wait = std::max(in_all, wait_under_team_limit(at, spec, queue->second.priority));
+    const auto wait = std::max(in_all, wait_under_team_limit(at, spec.team(), sort_key));
     if (can_end_usefully(spec, wait))
         return {};
     return wait;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -273,9 +273,11 @@
     /// the task's occurrence, whether or not that was recorded, so the occurrence is opened if it isn't yet.
     step_state* find_reported_step(const task_name& name, job_state** job);
     void open_occurrence(job_state& job, int number, const pb::occurrence_progress* from);
-    /// The time that work of the job's team ahead of it takes, if the team uses its whole limit.
-    [[nodiscard]] milliseconds wait_under_team_limit(instant at, const pb::job_spec& spec,
-                                                     int priority) const;
+    /// The sort key of a first step of the job, were it accepted now.
+    [[nodiscard]] step_sort_key sort_key_of_new(instant at, const pb::job_spec& spec, int priority) const;
+    /// The time that work of the team ahead of `sort_key` takes, if the team uses its whole limit.
+    [[nodiscard]] milliseconds wait_under_team_limit(instant at, const std::string& team,
+                                                     const step_sort_key& sort_key) const;
     // engine_run_times.cpp: how long work is expected to take.
     /// How long a task of the step will run; `step` tells of its ended tasks, if there are any.
     [[nodiscard]] milliseconds expected_time(const pb::job_spec& spec, int number,
@@ -563,8 +565,8 @@
     advice_relays m_advice_relays;
     std::map<std::string, advice_load> m_advice_load; ///< by queue, since the last report
     std::map<std::string, good_share> m_good_share;   ///< by queue
-    /// Queued work that is not too late to be useful, in millicore-milliseconds, by priority.
-    std::map<int, double> m_backlog;
+    /// Queued work that is not too late to be useful, in millicore-milliseconds.
+    std::map<order_class, double> m_backlog;
     /// Queued work that is not too late to be useful, as the time that it takes at its team's whole limit.
     struct team_backlog_item {
         step_sort_key sort_key;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -267,7 +267,7 @@
         const auto run_time = expected_time(ready.job->spec, ready.step, &step);
         const auto work =
             static_cast<double>(spec.need().cpu_milli()) * static_cast<double>(run_time.count());
-        m_backlog[ready.sort_key->priority] += work * static_cast<double>(step.open_tasks);
+        m_backlog[order_class_of(at, *ready.sort_key)] += work * static_cast<double>(step.open_tasks);
         const auto queued = static_cast<double>(count_queued(step));
         const auto time = run_time * (queued * share_of_team_limit(ready.job->team, need_of(spec)));
         if (time.count() > 0)
--- a/src/jobs/engine_team_limits.cpp
+++ b/src/jobs/engine_team_limits.cpp
@@ -151,12 +151,11 @@
     return share_of_team_limit(team, unit) > 1;
 }
 
-milliseconds job_engine::wait_under_team_limit(instant at, const pb::job_spec& spec, int priority) const {
-    const auto limited = m_limited.find(spec.team());
+milliseconds job_engine::wait_under_team_limit(instant at, const std::string& team,
+                                               const step_sort_key& sort_key) const {
+    const auto limited = m_limited.find(team);
     if (limited == m_limited.end())
         return {};
-    const step_sort_key sort_key{!within_rate(at, spec.team()), priority, latest_start(at, spec),
-                                 instant::max()};
     std::chrono::duration<double, std::milli> ahead{0};
     for (const auto& work : limited->second) {
         if (goes_before(at, work.sort_key, sort_key))
--- a/src/jobs/waiting_order.cpp
+++ b/src/jobs/waiting_order.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-std::tuple<bool, bool, int> order_class_of(instant at, const step_sort_key& step) {
+order_class order_class_of(instant at, const step_sort_key& step) {
     return {step.exceeds_team_rate, lateness(at, step) == 2, step.priority};
 }
 
--- a/src/jobs/waiting_order.h
+++ b/src/jobs/waiting_order.h
@@ -15,8 +15,11 @@
     instant latest_useful_start{};  ///< after a later start, the end comes too late to be of any use
 };
 
+/// Beyond the team's rate, past the latest useful start, and the priority.
+using order_class = std::tuple<bool, bool, int>;
+
 /// The class of a step: those of a lower class go first, whatever their team.
-std::tuple<bool, bool, int> order_class_of(instant at, const step_sort_key& step);
+order_class order_class_of(instant at, const step_sort_key& step);
 
 /// Queue order on a full fleet: work within its team's rate first, then by priority, then work that can still
 /// be in time before work that can't, then the earliest due. Work past its latest useful start goes after all
--- a/test/job_engine_test.cpp
+++ b/test/job_engine_test.cpp
@@ -660,6 +660,50 @@
     CHECK_FALSE(world.owner().wait_if_too_late(world.at(), urgent));
 }
 
+// Guards against a wait that ignores that work beyond a team's rate goes last: a burst of one team then has
+// jobs of other teams refused, and is accepted itself though it can only end too late.
+TEST_CASE("the wait of a new job follows the order of the queue", "[engine][load]") {
+    struct row {
+        const char* name;
+        double waiting_rate; ///< of the team whose jobs wait, in jobs per second; 0: unlimited
+        const char* team;    ///< of the new job
+        const char* queue;
+        bool refused;
+    };
+    const auto given =
+        GENERATE(row{"behind work of the same kind", 0, "mill", "checks", true},
+                 row{"before work beyond another team's rate", 0.1, "mill", "checks", false},
+                 row{"beyond its rate, behind other work beyond a rate", 0.1, "tea", "checks", true},
+                 row{"more urgent", 0, "mill", "urgent", false},
+                 row{"more urgent but beyond its rate", 0, "tea", "urgent", true});
+    INFO(given.name);
+    job_world world{{.targets = 1, .work = 10s, .faults = false}, 16};
+    world.set_config([&](cell_config& config) {
+        config.queues["checks"].latency_goal = 1s;
+        config.queues["checks"].priority = 1;
+        config.queues["urgent"] = config.queues["checks"];
+        config.queues["urgent"].priority = 0;
+        config.teams["orchard"].jobs_per_second = given.waiting_rate;
+        config.teams["mill"] = {};
+        config.teams["tea"].jobs_per_second = 0.1;
+    });
+    auto step = simple_step(4, 1000);
+    step.set_estimate_ms(10'000);
+    // Uses up the allowance of its team.
+    auto small = simple_job("t0", {simple_step(1, 100)});
+    small.set_team("tea");
+    world.submit(small);
+    small.set_id("t1");
+    world.submit(small);
+    for (int i = 0; i < 12; ++i)
+        world.submit(simple_job("j" + std::to_string(i), {step}));
+    world.run_for(200ms);
+    auto job = simple_job("n", {step});
+    job.set_team(given.team);
+    job.set_queue(given.queue);
+    CHECK(world.owner().wait_if_too_late(world.at(), job).has_value() == given.refused);
+}
+
 TEST_CASE("a job that its team's limit lets end only too late is refused, others are not", "[engine][load]") {
     struct row {
         const char* name;
