--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -498,10 +498,14 @@
         m_environment.counters->count("jobs_refused_total", {{"reason", wait       ? "backlog"
                                                                         : too_many ? "memory"
                                                                                    : "overload"}});
+        const auto retry = wait ? std::min(*wait, longest_retry) : outage_retry;
         log_event(log_level::info, "job_refused",
-                  {{"request", spec.id()}, {"team", spec.team()}, {"reason", reason}});
-        answer(done, make_job_answer(pb::job_answer::not_run, reason,
-                                     wait ? std::min(*wait, longest_retry) : outage_retry));
+                  {{"request", spec.id()},
+                   {"team", spec.team()},
+                   {"reason", reason},
+                   {"wait_ms", std::to_string(wait.value_or(0ms).count())},
+                   {"retry_after_ms", std::to_string(retry.count())}});
+        answer(done, make_job_answer(pb::job_answer::not_run, reason, retry));
         return true;
     }
 
