Stop the clock of a step whose runs were found, and name the targets that hold work back

Operators saw waits_beside_room name a step that was running: its wait for targets not heard since the takeover was never over, so that it hid the step that waited. A line runs_known told neither which targets were given up nor what had waited for them.

A pass stops the clock of each step that waits no more. runs_known names the targets and counts the jobs and teams; partition_load counts unconfirmed targets and jobs each second.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -562,6 +562,8 @@
                     text(std::chrono::round<milliseconds>(std::exchange(m_engine_time, {})).count())},
                    {"round_trip_ms", text(m_gate.late().count())},
                    {"limiting", m_gate.limiting() ? "true" : "false"},
+                   {"unconfirmed_targets", text(statistics.unconfirmed_targets)},
+                   {"unconfirmed_jobs", text(statistics.unconfirmed_jobs)},
                    {"team_limits", m_engine->describe_limits()},
                    {"callers", text(m_waiters.size())}});
         report_wait(statistics);
--- a/src/jobs/engine.cpp
+++ b/src/jobs/engine.cpp
@@ -456,6 +456,7 @@
         made.capacity_cpu_milli += target.entry.capacity.cpu_milli;
     }
     for (const auto& [id, job] : m_open) {
+        made.unconfirmed_jobs += job->unconfirmed ? 1 : 0;
         for (const auto& [number, occurrence] : job->occurrences) {
             for (const auto& step : occurrence.steps) {
                 if (!step.ready)
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -151,7 +151,8 @@
         std::size_t waiting_tasks = 0;
         std::size_t live_runs = 0;
         std::size_t targets = 0;
-        std::size_t unconfirmed_targets = 0;
+        std::size_t unconfirmed_targets = 0; ///< that may run tasks and haven't answered since the takeover
+        std::size_t unconfirmed_jobs = 0;    ///< whose queued tasks wait for these targets
         std::int64_t held_cpu_milli = 0;
         std::int64_t capacity_cpu_milli = 0;
     };
@@ -464,6 +465,8 @@
     void collect_orphans();
     /// Steps to consider in this pass.
     std::vector<ready_step> collect_waiting(instant at);
+    /// Whether the step is ready and has tasks without a run.
+    [[nodiscard]] static bool is_waiting(const step_state& step);
     static std::ptrdiff_t count_queued(const step_state& step);
     static step_state& step_of(const ready_step& ready);
     void count_backlog(instant at, const std::vector<ready_step>& waiting);
@@ -534,6 +537,7 @@
     std::map<std::string, target_state> m_targets;
     std::set<task_name> m_orphaned_tasks;        ///< as of the last pass
     std::set<std::string> m_unconfirmed_targets; ///< of the roster, not contacted since the takeover
+    instant m_recovery_began{};
     instant m_recovery_ends{};
     instant m_longest_granted_until{}; ///< until then runs may hold the longest lease that targets grant
     bool m_longest_recorded = false;   ///< a write that names it was handed out
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -3,6 +3,7 @@
 #include "jobs/engine.h"
 
 #include <algorithm>
+#include <span>
 
 namespace medlarhub {
 
@@ -17,6 +18,16 @@
 constexpr milliseconds partial_gang_wait{1000};
 constexpr milliseconds gang_check_period{250};
 
+/// For the log: at most this many targets are named.
+constexpr std::size_t max_targets_named = 20;
+
+std::string list_of(const std::vector<std::string>& targets) {
+    std::string text;
+    for (const auto& id : std::span{targets}.first(std::min(targets.size(), max_targets_named)))
+        text += (text.empty() ? ": " : " ") + id;
+    return targets.size() > max_targets_named ? text + " ..." : text;
+}
+
 bool add_if_absent(std::vector<int>& numbers, int number) {
     if (std::ranges::find(numbers, number) != numbers.end())
         return false;
@@ -293,24 +304,34 @@
 void job_engine::finish_recovery(instant at) {
     if (!m_recovering)
         return;
-    std::size_t not_reached = 0;
+    std::vector<std::string> not_reached;
     if (at >= m_recovery_ends) {
         // The leases of targets that answered have been renewed since, so these must list all they have.
-        not_reached = std::erase_if(m_unconfirmed_targets, [&](const std::string& id) {
+        std::erase_if(m_unconfirmed_targets, [&](const std::string& id) {
             const auto target = m_targets.find(id);
-            return target == m_targets.end() || !target->second.contacted;
+            const bool answered = target != m_targets.end() && target->second.contacted;
+            if (!answered)
+                not_reached.push_back(id);
+            return !answered;
         });
     }
     if (!m_unconfirmed_targets.empty())
         return;
     m_recovering = false;
-    add_event("runs_known", {}, std::to_string(not_reached) + " targets not reached");
+    std::size_t jobs = 0;
+    std::set<std::string_view> teams;
     for (const auto& [id, job] : m_open) {
         if (!job->unconfirmed)
             continue;
+        ++jobs;
+        teams.insert(job->team);
         job->unconfirmed = false;
         stop_partial_gangs(at, *job);
     }
+    add_event("runs_known", {},
+              std::to_string(not_reached.size()) + " targets not reached" + list_of(not_reached) + "; " +
+                  std::to_string(jobs) + " jobs of " + std::to_string(teams.size()) + " teams waited " +
+                  std::to_string((at - m_recovery_began).count()) + " ms");
     m_changed = true;
 }
 
--- a/src/jobs/engine_rows.cpp
+++ b/src/jobs/engine_rows.cpp
@@ -98,6 +98,7 @@
     m_roster.insert(targets.begin(), targets.end());
     m_roster_written = m_roster;
     m_recovering = true;
+    m_recovery_began = at;
     m_recovery_ends = at + m_options.max_unknown_run_time;
     finish_recovery(at);
 }
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -196,9 +196,13 @@
                 continue;
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 const auto& step = occurrence.steps[i];
-                if (!step.ready || step.open_tasks == 0 || count_queued(step) == 0)
-                    continue;
                 const ready_step ready{&job, number, static_cast<int>(i), &step.sort_key};
+                if (!is_waiting(step)) {
+                    // Runs that a target reported may have ended its wait.
+                    if (step.wait.cause() != wait_cause::none)
+                        note_wait(at, ready, wait_cause::none);
+                    continue;
+                }
                 if (job.unconfirmed)
                     note_wait(at, ready, wait_cause::runs_unconfirmed);
                 else if (write_is_slow && job.durable_version == 0)
@@ -211,6 +215,10 @@
     return waiting;
 }
 
+bool job_engine::is_waiting(const step_state& step) {
+    return step.ready && step.open_tasks > 0 && count_queued(step) > 0;
+}
+
 std::ptrdiff_t job_engine::count_queued(const step_state& step) {
     return std::ranges::count_if(
         step.tasks, [](const task_state& task) { return !task.done && task.run_targets.empty(); });
--- a/test/engine_reports_test.cpp
+++ b/test/engine_reports_test.cpp
@@ -171,3 +171,55 @@
     }
     CHECK(logged == std::vector<std::string>{"target_lists_part", "target_lists_all"});
 }
+
+namespace {
+
+std::string detail_of(job_world& world, const std::string& event) {
+    std::string detail;
+    for (const auto& each : world.owner().take_events()) {
+        if (each.what == event)
+            detail = each.detail;
+    }
+    return detail;
+}
+
+} // namespace
+
+// Guards against an alert that names a step whose runs were found, and so hides the one that waits.
+TEST_CASE("a step whose runs are found after a takeover waits no longer", "[engine][recovery][log]") {
+    job_world world{{.targets = 3, .work = 20s, .faults = false}, 94};
+    world.submit(simple_job("found", {simple_step(1, 4000)}));
+    world.run_for(500ms);
+    REQUIRE(world.starts() == std::vector<std::string>{"found.0.0.0@t0"});
+    world.make_unresponsive("t1", 20s);
+    world.make_unresponsive("t2", 20s);
+    world.take_over();
+    world.run_for(1s);
+    REQUIRE_FALSE(world.owner().runs_known());
+    CHECK_FALSE(world.owner().longest_wait(world.at()));
+    world.submit(simple_job("waits", {simple_step(1, 4000)}));
+    world.run_for(1s);
+    const auto longest = world.owner().longest_wait(world.at());
+    REQUIRE(longest);
+    CHECK(longest->job == "waits");
+}
+
+// Guards against a takeover of which the log doesn't tell for which targets work stood still.
+TEST_CASE("the log names the targets that a new owner didn't reach", "[engine][recovery][log]") {
+    job_world world{{.targets = 3, .work = 300ms, .faults = false}, 95};
+    world.submit(simple_job("open", {simple_step(1, 4000)}));
+    world.run_for(100ms);
+    world.make_unresponsive("t1", 20s);
+    world.make_unresponsive("t2", 20s);
+    world.take_over();
+    world.submit(simple_job("new", {simple_step(1, 8000)})); // no target is that large
+    world.run_for(1s);
+    const auto statistics = world.owner().count();
+    CHECK(statistics.unconfirmed_targets == 2);
+    CHECK(statistics.unconfirmed_jobs == 0);
+    world.run_for(9s);
+    const auto detail = detail_of(world, "runs_known");
+    INFO(detail);
+    CHECK(detail.starts_with("2 targets not reached: t1 t2; 0 jobs of 0 teams waited"));
+    CHECK(world.owner().count().unconfirmed_targets == 0);
+}
