--- a/test/engine_team_limits_test.cpp
+++ b/test/engine_team_limits_test.cpp
@@ -120,6 +120,41 @@
     CHECK(described.find("orchard: wide.0.0, it needs 100 %, 25 % are held") != std::string::npos);
 }
 
+// Guards against a limit that lies idle between two gangs: one runs with just under half of it, others keep
+// as much, one after the other, and what needs little waits for all of them.
+TEST_CASE("a step uses a limit of which less than half is in use, though a gang keeps the rest",
+          "[engine][caps][load][!shouldfail]") {
+    constexpr int gangs = 4;
+    constexpr int members = 23; // 11.5 of 24 cores
+    job_world world{{.targets = 24, .work = 30s, .faults = false, .good_one_in = 2}, 98};
+    world.set_config([&](cell_config& config) {
+        auto& queue = config.queues.at("checks");
+        queue.priority = 1;
+        queue.latency_goal = 30s;
+        queue.advice = advice_policy{50ms, 1ms, 2000ms};
+        config.queues.at("bulk").latency_goal = 30s;
+        config.teams.at("orchard").resource_limit.cpu_milli = 24'000;
+    });
+    auto before = simple_job("before", {simple_step(members, 500)});
+    before.set_queue("bulk");
+    world.submit(before);
+    world.run_for(500ms);
+    REQUIRE(running_cpu_milli(world) == members * 500);
+    world.withhold_advice(true);
+    for (int i = 0; i < gangs; ++i) {
+        auto gang = simple_step(members, 500);
+        gang.set_gang(true);
+        world.submit(simple_job("gang" + std::to_string(i), {gang}));
+    }
+    world.run_for(100ms);
+    auto narrow = simple_job("narrow", {simple_step(1, 1000)});
+    narrow.set_queue("bulk");
+    world.submit(narrow);
+    world.run_for(2900ms);
+    CHECK(running_cpu_milli(world) == members * 500 + 1000);
+    CHECK(world.violation().empty());
+}
+
 namespace {
 
 struct waiting_pair {
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -101,7 +101,7 @@
     std::vector<target_entry> entries;
     for (const auto& [id, target] : m_fleet->targets) {
         const auto assignment = m_assignments.of(id, m_fleet->homes.at(id));
-        if (assignment.partition != m_options.partition)
+        if (assignment.partition != m_options.partition || m_left.contains(id))
             continue;
         auto& added = entries.emplace_back(target.entry());
         added.home = m_fleet->homes.at(id);
@@ -138,6 +138,11 @@
     m_unresponsive_until[target] = m_at + time;
 }
 
+void job_world::leave(const std::string& target) {
+    m_left.insert(target);
+    read_entries();
+}
+
 void job_world::restart(const std::string& target, std::int64_t clock_start_ms) {
     m_fleet->targets.at(target).restart(m_at, clock_start_ms);
     m_not_prevented.erase(target);
@@ -163,6 +168,8 @@
 
 bool job_world::reachable(const std::string& target) const {
     const auto silent = m_unresponsive_until.find(target);
+    if (m_left.contains(target))
+        return false;
     return silent == m_unresponsive_until.end() || m_at >= silent->second;
 }
 
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -58,6 +58,8 @@
     /// Starts the next owner, which knows only the written rows and what targets report.
     void take_over();
     void make_unresponsive(const std::string& target, milliseconds time);
+    /// The target is gone for good, and the owner's list of targets doesn't have it any more.
+    void leave(const std::string& target);
     void restart(const std::string& target, std::int64_t clock_start_ms = 0);
     /// The owner learns the targets' entries, as the store has them.
     void read_entries();
@@ -144,6 +146,7 @@
     target_assignments m_assignments; ///< as known to the owner
     std::vector<target_transfer> m_completed_transfers;
     std::map<std::string, instant> m_unresponsive_until;
+    std::set<std::string> m_left; ///< targets
     /// By target: when its incarnation started whose lists were read last, and how many of them were read.
     std::map<std::string, std::pair<std::int64_t, int>> m_lists_read;
     /// By target: tasks of the present incarnation that a command for an earlier one started.
