Give the reports of a partition a file of their own

No change of what is told: report_wait and the others moved as they were, owned_partition_test and the process tests guard them.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -4,6 +4,7 @@
 #include "cell/admission.h"
 #include "cell/clocks.h"
 #include "cell/lease.h"
+#include "cell/partition_reporter.h"
 #include "cell/partition_rows.h"
 #include "jobs/overload_gate.h"
 #include "log.h"
@@ -14,7 +15,6 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
-#include <span>
 #include <thread>
 
 namespace medlarhub {
@@ -44,12 +44,6 @@
 constexpr milliseconds outage_retry{1000};
 constexpr milliseconds longest_retry{5000};
 constexpr milliseconds report_period{1000};
-constexpr milliseconds run_time_report_period{5000};
-constexpr std::size_t max_shares_reported = 5;
-/// Longer waits are logged each second while most of the CPU capacity is free.
-constexpr milliseconds reported_wait{3000};
-/// A load that another partition reported is used for this long.
-constexpr milliseconds max_load_age{5000};
 constexpr double max_clock_drift = 1.02;
 
 /// Every job produces ends of steps; all other events are rare enough for the info level.
@@ -75,7 +69,7 @@
           m_environment{std::move(environment)}, m_rows{*m_environment.rows, m_options.number,
                                                         m_options.owner, m_options.peer_address,
                                                         m_options.longest_lease},
-          m_guard{stall_tolerance} {}
+          m_reporter{m_options.number, *m_environment.counters}, m_guard{stall_tolerance} {}
 
     void start() {
         m_thread = std::thread{[self = shared_from_this()] { self->work(); }};
@@ -166,7 +160,7 @@
 
     void record_load(int partition, const cpu_load& load) {
         const std::lock_guard lock{m_mutex};
-        m_other_loads[partition] = {now(), load};
+        m_reporter.record_load(now(), partition, load);
     }
 
     void set_advice_relays(const std::vector<std::string>& nodes) {
@@ -221,7 +215,7 @@
             answer_expired_waiters(at);
             if (m_status == partition_status::active && at >= m_next_report) {
                 m_next_report = at + report_period;
-                report();
+                report(at);
                 m_claim_checks = m_engine->claims().take_due_checks(at);
             }
         });
@@ -546,107 +540,14 @@
         m_waiters.push_back({id, std::move(done), at + milliseconds{call.timeout_ms()} - answer_margin, {}});
     }
 
-    void report() {
-        const auto statistics = m_engine->count();
-        const auto text = [](auto number) { return std::to_string(number); };
-        log_event(log_level::info, "partition_load",
-                  {{"partition", text(m_options.number)},
-                   {"epoch", text(m_epoch)},
-                   {"open_jobs", text(statistics.open_jobs)},
-                   {"kept_jobs", text(statistics.kept_jobs)},
-                   {"waiting_tasks", text(statistics.waiting_tasks)},
-                   {"live_runs", text(statistics.live_runs)},
-                   {"held_cpu_milli", text(statistics.held_cpu_milli)},
-                   {"capacity_cpu_milli", text(statistics.capacity_cpu_milli)},
-                   {"deciding_ms",
-                    text(std::chrono::round<milliseconds>(std::exchange(m_engine_time, {})).count())},
-                   {"round_trip_ms", text(m_gate.late().count())},
-                   {"limiting", m_gate.limiting() ? "true" : "false"},
-                   {"unconfirmed_targets", text(statistics.unconfirmed_targets)},
-                   {"unconfirmed_jobs", text(statistics.unconfirmed_jobs)},
-                   {"team_limits", m_engine->describe_limits()},
-                   {"callers", text(m_waiters.size())}});
-        report_wait(statistics);
-        report_advice();
-        report_run_times();
-        report_shares();
-        m_environment.counters->set("open_jobs", static_cast<double>(statistics.open_jobs));
-        m_environment.counters->set("waiting_tasks", static_cast<double>(statistics.waiting_tasks));
-        m_environment.counters->set("held_cores", static_cast<double>(statistics.held_cpu_milli) / 1000);
-    }
-
-    void report_advice() {
-        const auto statistics = m_engine->take_advice_statistics(now());
-        for (const auto& [queue, load] : statistics.queues) {
-            log_event(log_level::info, "advice_load",
-                      {{"partition", std::to_string(m_options.number)},
-                       {"nodes", std::to_string(statistics.nodes)},
-                       {"nodes_for_brief", std::to_string(statistics.nodes_for_brief)},
-                       {"queue", queue},
-                       {"requests", std::to_string(load.requests)},
-                       {"ms", std::to_string(load.time.count())},
-                       {"targets", std::to_string(load.targets)},
-                       {"good", std::to_string(load.good)}});
-        }
-    }
-
-    void report_shares() {
-        const auto teams = m_engine->shares_of_teams();
-        m_environment.counters->set("teams_at_fair_share", static_cast<double>(teams.size()));
-        const auto reported = std::min(teams.size(), max_shares_reported);
-        for (const auto& team : std::span{teams}.first(reported)) {
-            log_event(log_level::info, "team_share",
-                      {{"partition", std::to_string(m_options.number)},
-                       {"team", team.team},
-                       {"weight", std::to_string(team.weight)},
-                       {"used", std::to_string(team.used)},
-                       {"fair", std::to_string(team.fair)}});
-        }
-    }
-
-    void report_run_times() {
-        const auto at = now();
-        if (at < m_next_run_time_report)
-            return;
-        m_next_run_time_report = at + run_time_report_period;
-        for (const auto& errors : m_engine->errors_of_run_times()) {
-            log_event(log_level::info, "run_time_error",
-                      {{"partition", std::to_string(m_options.number)},
-                       {"queue", errors.queue},
-                       {"ends", std::to_string(errors.ends)},
-                       {"estimate", std::to_string(errors.estimate)},
-                       {"prediction", std::to_string(errors.prediction)}});
-            for (const auto& [source, error] :
-                 {std::pair{"estimate", errors.estimate}, std::pair{"prediction", errors.prediction}})
-                m_environment.counters->set("run_time_error_ratio", error,
-                                            {{"queue", errors.queue}, {"source", source}});
-        }
-    }
-
-    /// Raises an alert if work waits while much capacity is free, which indicates a scheduling bug.
-    void report_wait(const job_engine::engine_statistics& engine_statistics) {
-        const auto at = now();
-        const auto longest = m_engine->longest_wait(at);
-        auto held = engine_statistics.held_cpu_milli;
-        auto capacity = engine_statistics.capacity_cpu_milli;
-        for (const auto& [partition, other] : m_other_loads) {
-            if (at - other.at > max_load_age)
-                continue;
-            held += other.load.demand_cpu_milli;
-            capacity += other.load.capacity_cpu_milli;
-        }
-        const bool much_free = held * 2 < capacity;
-        const bool suspicious = longest && longest->time >= reported_wait && much_free;
-        m_environment.counters->set("waits_beside_room", suspicious ? 1 : 0);
-        if (!suspicious)
-            return;
-        log_event(log_level::warning, "waits_beside_room",
-                  {{"request", longest->job},
-                   {"partition", std::to_string(m_options.number)},
-                   {"waited", longest->text},
-                   {"cause", std::string{name_of(longest->cause)}},
-                   {"held_cpu_milli", std::to_string(held)},
-                   {"capacity_cpu_milli", std::to_string(capacity)}});
+    void report(instant at) {
+        partition_load_details details;
+        details.epoch = m_epoch;
+        details.deciding = std::chrono::round<milliseconds>(std::exchange(m_engine_time, {}));
+        details.round_trip = m_gate.late();
+        details.limiting = m_gate.limiting();
+        details.callers = m_waiters.size();
+        m_reporter.report(at, *m_engine, details);
     }
 
     void answer_durable_waiters() {
@@ -925,11 +826,7 @@
     std::shared_ptr<const cell_layout> m_layout;
     std::shared_ptr<const std::vector<target_entry>> m_cell_targets;
     target_assignments m_assignments;
-    struct other_load {
-        instant at{};
-        cpu_load load;
-    };
-    std::map<int, other_load> m_other_loads; ///< by partition
+    partition_reporter m_reporter;
     std::vector<std::string> m_advisers;
     std::vector<waiter> m_waiters;
     std::vector<id_claims::check> m_claim_checks; ///< to be sent
@@ -943,7 +840,6 @@
     adaptive_timeout m_start_timeout;          ///< for starts
     std::chrono::nanoseconds m_engine_time{0}; ///< time spent in the engine since the last report
     instant m_next_report{};
-    instant m_next_run_time_report{};
     instant m_failing_since{};
     instant m_write_sent{}; ///< of the write in flight
     std::atomic<bool> m_stopping{false};
