--- a/test/engine_team_limits_test.cpp
+++ b/test/engine_team_limits_test.cpp
@@ -125,7 +125,8 @@
 TEST_CASE("a step uses a limit of which less than half is in use, though a gang keeps the rest",
           "[engine][caps][load]") {
     constexpr int gangs = 4;
-    constexpr int members = 23; // 11.5 of 24 cores
+    constexpr int members = 23;
+    constexpr std::int64_t member_cpu_milli = 500; // 11.5 of 24 cores together
     job_world world{{.targets = 24, .work = 30s, .faults = false, .good_one_in = 2}, 98};
     world.set_config([&](cell_config& config) {
         auto& queue = config.queues.at("checks");
@@ -135,14 +136,14 @@
         config.queues.at("bulk").latency_goal = 30s;
         config.teams.at("orchard").resource_limit.cpu_milli = 24'000;
     });
-    auto before = simple_job("before", {simple_step(members, 500)});
+    auto before = simple_job("before", {simple_step(members, member_cpu_milli)});
     before.set_queue("bulk");
     world.submit(before);
     world.run_for(500ms);
-    REQUIRE(running_cpu_milli(world) == members * 500);
+    REQUIRE(running_cpu_milli(world) == members * member_cpu_milli);
     world.withhold_advice(true);
     for (int i = 0; i < gangs; ++i) {
-        auto gang = simple_step(members, 500);
+        auto gang = simple_step(members, member_cpu_milli);
         gang.set_gang(true);
         world.submit(simple_job("gang" + std::to_string(i), {gang}));
     }
@@ -151,7 +152,7 @@
     narrow.set_queue("bulk");
     world.submit(narrow);
     world.run_for(2900ms);
-    CHECK(running_cpu_milli(world) == members * 500 + 1000);
+    CHECK(running_cpu_milli(world) == members * member_cpu_milli + 1000);
     CHECK(world.violation().empty());
 }
 
