--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -558,6 +558,7 @@
             const auto at = now();
             for (const auto& [number, owned] : partitions())
                 owned->tick();
+            m_limited_targets.tick();
             m_relay.tick(at);
             m_relayed.tick(at);
             m_router->tick(at);
--- a/src/cell/command_relay.cpp
+++ b/src/cell/command_relay.cpp
@@ -16,6 +16,8 @@
 
 /// A session without calls for this long is deleted with its results.
 constexpr milliseconds session_retention{5000};
+/// Without a tick for this long the process may have been paused.
+constexpr milliseconds stall_tolerance{700};
 
 } // namespace
 
@@ -23,12 +25,17 @@
 public:
     using responder = std::function<void(pb::relay_answer)>;
 
-    explicit impl(target_port& targets) : m_targets{targets} {}
+    impl(target_port& targets, std::function<milliseconds()> clock)
+        : m_targets{targets}, m_clock{std::move(clock)}, m_guard{stall_tolerance} {
+        m_guard.beat(m_clock());
+    }
 
     void take(instant at, const pb::relay_call& call, responder done) {
         std::vector<reply> replies;
+        bool stalled = false;
         {
             const std::lock_guard lock{m_mutex};
+            stalled = m_guard.is_stalled(m_clock());
             auto& session = m_sessions[call.session()];
             session.used = at;
             if (session.held)
@@ -39,14 +46,24 @@
                 replies.push_back(answer(at, session));
         }
         send(replies);
-        for (const auto& command : call.commands())
-            carry_out(call.session(), command);
+        for (const auto& withdrawal : call.withdrawals()) {
+            if (const auto start = start_from_wire(withdrawal))
+                m_targets.withdraw(*start);
+        }
+        for (const auto& command : call.commands()) {
+            if (stalled && command.what() == pb::target_command::start)
+                finished(call.session(), command.number(),
+                         to_wire(command_reply{command_outcome::expired, {}}));
+            else
+                carry_out(call.session(), command);
+        }
     }
 
     void tick(instant at) {
         std::vector<reply> replies;
         {
             const std::lock_guard lock{m_mutex};
+            m_guard.beat(m_clock());
             std::erase_if(m_sessions, [&](const auto& each) {
                 return !each.second.held && at - each.second.used > session_retention;
             });
@@ -123,11 +140,14 @@
     }
 
     target_port& m_targets;
-    std::mutex m_mutex;
+    std::function<milliseconds()> m_clock;
+    std::mutex m_mutex; ///< guards the members below
+    stall_guard m_guard;
     std::map<std::string, session_state> m_sessions;
 };
 
-command_relay::command_relay(target_port& targets) : m_impl{std::make_shared<impl>(targets)} {}
+command_relay::command_relay(target_port& targets, std::function<milliseconds()> clock)
+    : m_impl{std::make_shared<impl>(targets, std::move(clock))} {}
 
 void command_relay::take(instant at, const pb::relay_call& call, std::function<void(pb::relay_answer)> done) {
     m_impl->take(at, call, std::move(done));
--- a/src/cell/command_relay.h
+++ b/src/cell/command_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/clocks.h"
 #include "cell/ports.h"
 
 #include "jobs.pb.h"
@@ -19,8 +20,11 @@
 /// limits the throughput of its partition. Thread-safe.
 class command_relay {
 public:
-    explicit command_relay(target_port& targets);
+    /// `clock` tells the time since boot.
+    explicit command_relay(target_port& targets, std::function<milliseconds()> clock = boot_time);
 
+    /// Starts that arrived while this process was paused are answered as expired, since nobody knows how long
+    /// they have waited.
     /// Invokes `done` exactly once, at the latest at the first tick after `relay_hold`.
     void take(instant at, const pb::relay_call& call, std::function<void(pb::relay_answer)> done);
     /// To be called about every `relay_spacing`.
--- a/src/cell/command_wire.cpp
+++ b/src/cell/command_wire.cpp
@@ -2,6 +2,8 @@
 
 #include "medlarhub/reason.h"
 
+#include <algorithm>
+
 namespace medlarhub {
 
 pb::target_command to_wire(const start_stop_command& command, milliseconds timeout) {
@@ -14,6 +16,7 @@
     wire.set_timeout_ms(timeout.count());
     wire.set_task(command.task.to_string());
     wire.set_run(command.run);
+    wire.set_queue_ms(command.queue_time.count());
     if (!start)
         return wire;
     wire.set_body(command.body);
@@ -41,6 +44,7 @@
     pb::command_result result;
     result.set_outcome(static_cast<int>(reply.outcome));
     result.set_clock_ms(reply.clock_ms.value_or(0));
+    result.set_queued_ms(reply.queued.count());
     return result;
 }
 
@@ -77,6 +81,8 @@
     command.task = *task;
     command.run = wire.run();
     command.fence = wire.fence();
+    if (wire.has_queue_ms())
+        command.queue_time = std::min(milliseconds{wire.queue_ms()}, max_queue_time);
     command.body = wire.body();
     command.saved = wire.saved();
     command.ticket = wire.ticket();
@@ -84,6 +90,21 @@
     return command;
 }
 
+pb::start_withdrawal to_wire(const start_id& start) {
+    pb::start_withdrawal wire;
+    wire.set_target(start.target);
+    wire.set_task(start.task.to_string());
+    wire.set_run(start.run);
+    return wire;
+}
+
+std::optional<start_id> start_from_wire(const pb::start_withdrawal& wire) {
+    const auto task = parse_task_name(wire.task());
+    if (!task)
+        return fail("invalid task name: " + wire.task());
+    return start_id{wire.target(), *task, wire.run()};
+}
+
 target_poll_command poll_from_wire(const pb::target_command& wire) {
     target_poll_command command;
     command.target = wire.target();
@@ -97,12 +118,13 @@
 }
 
 command_reply reply_from_wire(const pb::command_result& result) {
-    constexpr auto last = static_cast<int>(command_outcome::lost);
+    constexpr auto last = static_cast<int>(command_outcome::withdrawn);
     command_reply reply;
     if (result.outcome() >= 0 && result.outcome() <= last)
         reply.outcome = static_cast<command_outcome>(result.outcome());
     if (result.clock_ms() > 0)
         reply.clock_ms = result.clock_ms();
+    reply.queued = milliseconds{result.queued_ms()};
     return reply;
 }
 
--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -76,9 +76,13 @@
     }
 
     void release(milliseconds longest) {
-        std::unique_lock lock{m_mutex};
-        if (m_status == partition_status::active)
+        locked([&](instant) {
+            if (m_status != partition_status::active)
+                return;
             m_status = partition_status::releasing;
+            m_engine->withdraw_all_starts();
+        });
+        std::unique_lock lock{m_mutex};
         m_wake.notify_all();
         m_closed.wait_for(lock, longest, [&] { return m_status == partition_status::closed; });
     }
@@ -257,6 +261,7 @@
     struct outbox {
         std::vector<start_stop_command> commands;
         milliseconds start_timeout{0};
+        std::vector<start_id> withdrawals;
         std::vector<target_poll_command> polls;
         std::vector<advice_request> advice_requests;
         std::vector<id_claims::check> claim_checks;
@@ -323,24 +328,30 @@
         out.answers.swap(m_answers);
         if (!m_engine)
             return;
+        if (m_status == partition_status::active && may_command())
+            take_commands(at, out);
         out.events = m_engine->take_events();
+        out.withdrawals = m_engine->take_withdrawals();
         if (m_status != partition_status::active)
             return;
         out.advice_requests = m_engine->take_advice_requests();
         out.claim_checks.swap(m_claim_checks);
-        if (may_command()) {
-            out.commands = m_engine->take_commands(at);
-            out.start_timeout = m_start_timeout.timeout();
-            out.polls = m_engine->take_polls(at);
-        }
         if (m_engine->fenced())
             m_needs_confirmation = true;
         out.wake = m_engine->write_due(at) || m_needs_confirmation;
     }
 
+    void take_commands(instant at, outbox& out) {
+        out.commands = m_engine->take_commands(at);
+        out.start_timeout = m_start_timeout.timeout();
+        out.polls = m_engine->take_polls(at);
+    }
+
     void flush(outbox& out) {
         if (out.wake)
             m_wake.notify_all();
+        for (const auto& start : out.withdrawals)
+            m_environment.commands->withdraw(start);
         for (const auto& command : out.commands)
             send(command, command.kind == command_kind::start ? out.start_timeout : stop_timeout);
         for (const auto& command : out.polls)
@@ -362,18 +373,29 @@
         m_environment.commands->send(command, timeout,
                                      [self = shared_from_this(), command, sent](const command_reply& reply) {
                                          self->locked([&](instant at) {
-                                             if (command.kind == command_kind::start)
-                                                 self->m_start_timeout.observe(at - sent);
-                                             // Targets answer immediately, so a slow answer was queued
-                                             // at this owner.
-                                             if (reply.outcome == command_outcome::done)
-                                                 self->m_gate.observe(at, at - sent);
+                                             self->observe(at, sent, command, reply);
                                              if (self->m_engine)
                                                  self->m_engine->handle_command_result(at, command, reply);
                                          });
                                      });
     }
 
+    /// Learns from the time that a command took.
+    void observe(instant at, instant sent, const start_stop_command& command, const command_reply& reply) {
+        if (is_never_sent(reply.outcome)) {
+            const bool expired = reply.outcome == command_outcome::expired;
+            m_environment.counters->count("commands_unsent_total",
+                                          {{"reason", expired ? "expired" : "withdrawn"}});
+            return;
+        }
+        const auto took = at - sent;
+        if (command.kind == command_kind::start)
+            m_start_timeout.observe(took);
+        // Targets answer immediately, so a slow answer was delayed by this owner's load.
+        if (reply.outcome == command_outcome::done)
+            m_gate.observe(at, took);
+    }
+
     void poll(const target_poll_command& command) {
         m_environment.counters->count("polls_total");
         const auto sent = now();
@@ -797,6 +819,8 @@
             if (m_status == partition_status::closed)
                 return;
             m_status = partition_status::closed;
+            if (m_engine)
+                m_engine->withdraw_all_starts();
             // A job that is part of a write may have been recorded; only one that never was is safe to
             // resubmit as new.
             for (const auto& waiting : m_waiters) {
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -44,7 +44,7 @@
     [[nodiscard]] virtual std::optional<std::vector<target_entry>> next(milliseconds longest) = 0;
 };
 
-/// Sends commands to targets. Each call invokes `done` exactly once, from any thread.
+/// Sends commands to targets. Each call that has a `done` invokes it exactly once, from any thread.
 class target_port {
 public:
     target_port() = default;
@@ -56,6 +56,9 @@
                       std::function<void(command_reply)> done) = 0;
     virtual void poll(const target_poll_command& command, milliseconds timeout,
                       std::function<void(poll_result)> done) = 0;
+    /// Takes back a start that still waits to be sent; its `done` then gets `withdrawn`. A start that was
+    /// sent isn't affected. A port without a queue has nothing to withdraw.
+    virtual void withdraw(const start_id& /*start*/) {}
 };
 
 struct advice_reply {
--- a/src/cell/relayed_targets.cpp
+++ b/src/cell/relayed_targets.cpp
@@ -1,5 +1,6 @@
 #include "cell/relayed_targets.h"
 
+#include "cell/clocks.h"
 #include "cell/command_relay.h"
 #include "cell/command_wire.h"
 #include "log.h"
@@ -36,14 +37,22 @@
 
     struct open_command {
         pb::target_command command;
+        std::optional<start_id> run; ///< that it starts or stops
         result_callback done;
         std::function<void()> send_direct; ///< sends it without a relay
         std::function<void()> send_again;  ///< the same, of a poll that the relay may have carried out
-        instant expires{};
+        instant expires{};                 ///< from then on its outcome is unknown
+        milliseconds added{0};             ///< since boot
+
+        [[nodiscard]] bool is_start() const { return command.what() == pb::target_command::start; }
+        /// How much longer a start or a stop may wait to be sent.
+        [[nodiscard]] milliseconds queue_time_left(milliseconds at) const {
+            return milliseconds{command.queue_ms()} - (at - added);
+        }
     };
 
-    impl(std::string name, target_port& direct, sender send)
-        : m_direct{direct}, m_name{std::move(name)}, m_send{std::move(send)} {}
+    impl(std::string name, target_port& direct, sender send, std::function<milliseconds()> clock)
+        : m_direct{direct}, m_name{std::move(name)}, m_send{std::move(send)}, m_clock{std::move(clock)} {}
 
     void set_relays(const std::vector<relay_node>& nodes) {
         const std::lock_guard lock{m_mutex};
@@ -85,28 +94,56 @@
 
     void tick(instant at) {
         std::vector<outgoing> calls;
+        std::vector<open_command> expired;
         std::vector<open_command> lost;
         {
             const std::lock_guard lock{m_mutex};
             for (auto& [relay, lane] : m_lanes) {
-                for (auto it = lane.open.begin(); it != lane.open.end();) {
-                    if (at < it->second.expires) {
-                        ++it;
-                        continue;
-                    }
-                    std::erase(lane.unsent, it->first);
-                    lost.push_back(std::move(it->second));
-                    it = lane.open.erase(it);
+                take_expired(lane, expired);
+                std::vector<std::uint64_t> overdue;
+                for (const auto& [number, open] : lane.open) {
+                    if (at >= open.expires)
+                        overdue.push_back(number);
                 }
-                if (!lane.unsent.empty())
+                for (const auto number : overdue) {
+                    std::erase(lane.unsent, number);
+                    lost.push_back(close(lane, number));
+                }
+                if (!lane.unsent.empty() || !lane.withdrawals.empty())
                     calls.push_back(next_call(at, relay, lane));
             }
         }
         send_all(calls);
+        answer_unsent(expired, command_outcome::expired);
         for (const auto& each : lost)
             each.done(nullptr);
     }
 
+    /// Withdraws a start where it waits: here, at the relay that has it, or among those that are sent
+    /// directly.
+    void withdraw(const start_id& start) {
+        std::vector<open_command> withdrawn;
+        bool relayed = false;
+        {
+            const std::lock_guard lock{m_mutex};
+            const auto found = m_open_starts.find(start);
+            relayed = found != m_open_starts.end();
+            if (relayed) {
+                const auto place = found->second;
+                auto& lane = m_lanes.at(place.relay);
+                if (std::erase(lane.unsent, place.number) > 0)
+                    withdrawn.push_back(close(lane, place.number));
+                else
+                    lane.withdrawals.push_back(start);
+            }
+        }
+        if (!relayed)
+            m_direct.withdraw(start);
+        answer_unsent(withdrawn, command_outcome::withdrawn);
+    }
+
+    [[nodiscard]] milliseconds boot() const { return m_clock(); }
+
     target_port& m_direct;
 
 private:
@@ -116,11 +153,18 @@
         std::uint64_t session = 0; ///< replaced after each failure and never reused
         std::map<std::uint64_t, open_command> open;
         std::vector<std::uint64_t> unsent;
+        std::vector<start_id> withdrawals; ///< to be sent to the relay
         int calls_out = 0;
         instant sent{};
         instant excluded_until{};
     };
 
+    /// Where a command is open.
+    struct open_place {
+        std::string relay;
+        std::uint64_t number = 0;
+    };
+
     struct outgoing {
         std::string relay;
         std::uint64_t session = 0;
@@ -165,18 +209,60 @@
         return relay;
     }
 
+    /// Returns the relay for a command: for a stop the one that has the start, so that neither overtakes the
+    /// other.
+    std::string relay_of(instant at, const open_command& open) {
+        if (open.run && !open.is_start()) {
+            const auto start = m_open_starts.find(*open.run);
+            if (start != m_open_starts.end() && at >= m_lanes.at(start->second.relay).excluded_until)
+                return start->second.relay;
+        }
+        return relay_of(at, open.command.target());
+    }
+
+    /// Removes a command from the open ones.
+    open_command close(relay_lane& lane, std::uint64_t number) {
+        auto closed = std::move(lane.open.extract(number).mapped());
+        if (closed.is_start())
+            m_open_starts.erase(*closed.run);
+        return closed;
+    }
+
+    /// Removes the commands that still wait here after the time that they may wait to be sent.
+    void take_expired(relay_lane& lane, std::vector<open_command>& to) {
+        const auto at = boot();
+        std::erase_if(lane.unsent, [&](std::uint64_t number) {
+            const auto& open = lane.open.at(number);
+            const bool expired = open.run && open.queue_time_left(at) <= milliseconds{0};
+            if (expired)
+                to.push_back(close(lane, number));
+            return expired;
+        });
+    }
+
+    void answer_unsent(const std::vector<open_command>& unsent, command_outcome outcome) const {
+        for (const auto& each : unsent) {
+            const auto result = to_wire(command_reply{outcome, {}, boot() - each.added});
+            each.done(&result);
+        }
+    }
+
     /// Sends the command through a relay; returns false if there is none for its target.
     bool relayed(open_command open) {
         const auto at = now();
         std::vector<outgoing> calls;
         {
             const std::lock_guard lock{m_mutex};
-            const auto relay = relay_of(at, open.command.target());
+            const auto relay = relay_of(at, open);
             if (relay.empty())
                 return false;
             auto& lane = m_lanes.at(relay);
             open.command.set_number(++m_last_number);
-            open.expires = at + milliseconds{open.command.timeout_ms()} + result_timeout_margin;
+            open.added = boot();
+            open.expires = at + milliseconds{open.command.timeout_ms()} +
+                           milliseconds{open.command.queue_ms()} + result_timeout_margin;
+            if (open.is_start())
+                m_open_starts[*open.run] = {relay, m_last_number};
             lane.unsent.push_back(m_last_number);
             lane.open.emplace(m_last_number, std::move(open));
             if (at - lane.sent >= relay_spacing)
@@ -189,8 +275,15 @@
     outgoing next_call(instant at, const std::string& relay, relay_lane& to) {
         outgoing next{relay, to.session, to.address, {}, std::exchange(to.unsent, {})};
         next.call.set_session(m_name + "/" + relay + "/" + std::to_string(to.session));
-        for (const auto number : next.numbers)
-            *next.call.add_commands() = to.open.at(number).command;
+        for (const auto number : next.numbers) {
+            const auto& open = to.open.at(number);
+            auto& command = *next.call.add_commands();
+            command = open.command;
+            if (open.run)
+                command.set_queue_ms(std::max(open.queue_time_left(boot()), milliseconds{0}).count());
+        }
+        for (const auto& start : std::exchange(to.withdrawals, {}))
+            *next.call.add_withdrawals() = to_wire(start);
         ++to.calls_out;
         to.sent = at;
         return next;
@@ -219,11 +312,8 @@
             auto& lane = known->second;
             --lane.calls_out;
             for (const auto& result : answer.results()) {
-                const auto found = lane.open.find(result.number());
-                if (found == lane.open.end())
-                    continue;
-                finished.emplace_back(std::move(found->second.done), &result);
-                lane.open.erase(found);
+                if (lane.open.contains(result.number()))
+                    finished.emplace_back(close(lane, result.number()).done, &result);
             }
         }
         for (const auto& [done, result] : finished)
@@ -261,14 +351,15 @@
             if (delivery == peer_delivery::not_sent)
                 surely_unsent.insert(surely_unsent.end(), numbers.begin(), numbers.end());
             for (const auto number : surely_unsent) {
-                if (auto node = lane.open.extract(number))
-                    unsent.push_back(std::move(node.mapped()));
+                if (lane.open.contains(number))
+                    unsent.push_back(close(lane, number));
             }
             // Polls are sent again directly instead of waiting for a timeout.
-            for (auto& [number, open] : std::exchange(lane.open, {})) {
-                const bool is_poll = open.command.what() == pb::target_command::poll;
-                (is_poll ? repeated : lost).push_back(std::move(open));
+            while (!lane.open.empty()) {
+                auto open = close(lane, lane.open.begin()->first);
+                (open.run ? lost : repeated).push_back(std::move(open));
             }
+            lane.withdrawals.clear();
             lane.session = ++m_last_session;
             lane.calls_out = 0;
             lane.excluded_until = now() + relay_exclusion_period;
@@ -287,19 +378,22 @@
 
     std::string m_name;
     sender m_send;
-    std::mutex m_mutex; ///< guards the members below
+    std::function<milliseconds()> m_clock; ///< time since boot
+    std::mutex m_mutex;                    ///< guards the members below
     std::vector<relay_node> m_given_nodes;
     std::vector<relay_node> m_nodes;                          ///< the same, in order of preference
     std::map<std::string, std::vector<std::string>> m_relays; ///< by data centre
     std::unordered_map<std::string, std::string> m_relay_of;  ///< by target; valid while no relay is excluded
     std::map<std::string, std::string> m_data_centres;        ///< of targets
     std::map<std::string, relay_lane> m_lanes;                ///< by relay
+    std::map<start_id, open_place> m_open_starts;             ///< those that are open in a lane
     std::uint64_t m_last_number = 0;
     std::uint64_t m_last_session = 0;
 };
 
-relayed_targets::relayed_targets(std::string name, target_port& direct, sender send)
-    : m_impl{std::make_shared<impl>(std::move(name), direct, std::move(send))} {}
+relayed_targets::relayed_targets(std::string name, target_port& direct, sender send,
+                                 std::function<milliseconds()> clock)
+    : m_impl{std::make_shared<impl>(std::move(name), direct, std::move(send), std::move(clock))} {}
 
 void relayed_targets::set_relays(const std::vector<relay_node>& nodes) {
     m_impl->set_relays(nodes);
@@ -313,33 +407,42 @@
 
 void relayed_targets::send(const start_stop_command& command, milliseconds timeout,
                            std::function<void(command_reply)> done) {
-    auto* const direct = &m_impl->m_direct;
-    m_impl->add({to_wire(command, timeout),
-                 [done](const pb::command_result* result) {
-                     done(result != nullptr ? reply_from_wire(*result) : command_reply{});
-                 },
-                 [direct, command, timeout, done] { direct->send(command, timeout, done); },
-                 {},
-                 {}});
+    impl::open_command open;
+    open.command = to_wire(command, timeout);
+    open.run = start_of(command);
+    open.done = [done](const pb::command_result* result) {
+        done(result != nullptr ? reply_from_wire(*result) : command_reply{});
+    };
+    open.send_direct = [to = m_impl.get(), command, timeout, done, since = m_impl->boot()] {
+        auto late = command;
+        late.queue_time -= to->boot() - since;
+        to->m_direct.send(late, timeout, done);
+    };
+    m_impl->add(std::move(open));
+}
+
+void relayed_targets::withdraw(const start_id& start) {
+    m_impl->withdraw(start);
 }
 
 void relayed_targets::poll(const target_poll_command& command, milliseconds timeout,
                            std::function<void(poll_result)> done) {
     auto* const direct = &m_impl->m_direct;
-    m_impl->add({to_wire(command, timeout),
-                 [done](const pb::command_result* result) {
-                     done(result != nullptr ? result_from_wire(*result) : poll_result{});
-                 },
-                 [direct, command, timeout, done] { direct->poll(command, timeout, done); },
-                 [direct, command, timeout, done] {
-                     // The target may have restarted since, and have taken a start: what was decided for the
-                     // incarnation before doesn't hold for that one.
-                     auto again = command;
-                     again.acked_upto = 0;
-                     again.deadline_ms = {};
-                     direct->poll(again, timeout, done);
-                 },
-                 {}});
+    impl::open_command open;
+    open.command = to_wire(command, timeout);
+    open.done = [done](const pb::command_result* result) {
+        done(result != nullptr ? result_from_wire(*result) : poll_result{});
+    };
+    open.send_direct = [direct, command, timeout, done] { direct->poll(command, timeout, done); };
+    open.send_again = [direct, command, timeout, done] {
+        // The target may have restarted since, and have taken a start: what was decided for the incarnation
+        // before doesn't hold for that one.
+        auto again = command;
+        again.acked_upto = 0;
+        again.deadline_ms = {};
+        direct->poll(again, timeout, done);
+    };
+    m_impl->add(std::move(open));
 }
 
 } // namespace medlarhub
--- a/src/cell/relayed_targets.h
+++ b/src/cell/relayed_targets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cell/clocks.h"
 #include "cell/ports.h"
 #include "peers/delivery.h"
 
@@ -30,8 +31,10 @@
     using sender = std::function<void(const std::string& address, const pb::relay_call& call,
                                       milliseconds timeout, peer_callback<pb::relay_answer> done)>;
 
-    /// `name` distinguishes the sessions of this incarnation of the node from all others.
-    relayed_targets(std::string name, target_port& direct, sender send);
+    /// `name` distinguishes the sessions of this incarnation of the node from all others; `clock` tells the
+    /// time since boot.
+    relayed_targets(std::string name, target_port& direct, sender send,
+                    std::function<milliseconds()> clock = boot_time);
 
     /// Sets the other live nodes. Only a few in each data centre are used, so that commands share messages.
     void set_relays(const std::vector<relay_node>& nodes);
@@ -43,6 +46,7 @@
               std::function<void(command_reply)> done) override;
     void poll(const target_poll_command& command, milliseconds timeout,
               std::function<void(poll_result)> done) override;
+    void withdraw(const start_id& start) override;
 
 private:
     class impl;
--- a/src/jobs/engine.h
+++ b/src/jobs/engine.h
@@ -26,6 +26,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace medlarhub {
@@ -116,6 +117,10 @@
 
     // Targets.
     [[nodiscard]] std::vector<start_stop_command> take_commands(instant at);
+    /// Starts that were handed out and are not to be sent any more if they still wait. Their results tell.
+    [[nodiscard]] std::vector<start_id> take_withdrawals() { return std::exchange(m_withdrawals, {}); }
+    /// Withdraws all starts that were handed out: the owner gives the partition up, or has lost it.
+    void withdraw_all_starts();
     void handle_command_result(instant at, const start_stop_command& command, const command_reply& reply);
     [[nodiscard]] std::vector<target_poll_command> take_polls(instant at);
     void handle_poll_result(instant at, instant sent, const target_poll_command& command,
@@ -266,6 +271,15 @@
         step_group* group = nullptr;     ///< set while the pass considers the step
     };
 
+    /// A start that is to be handed out.
+    struct pending_start {
+        std::string target;
+        std::string task;
+        int run = 0;
+        std::string ticket;
+        instant queued_at{};
+    };
+
     using target_set = std::unordered_set<const target_state*>;
 
     // engine.cpp: jobs and their ends.
@@ -356,7 +370,25 @@
     void recall_queues(const std::map<std::string, pb::job_spec>& specs);
 
     // engine_commands.cpp, engine_targets.cpp and engine_ends.cpp: runs at targets.
-    void release(target_state& target, const live_run& run);
+    /// Frees what a run held that is over.
+    void release(target_state& target, live_run& run);
+    /// Hands a start out, unless it isn't wanted any more or has waited for too long.
+    void take_start(instant at, const pending_start& start, std::vector<start_stop_command>& to);
+    start_stop_command make_stop(instant at, target_state& target, const task_name& task, int number) const;
+    /// Why no start that still waits may be sent to the target; empty if it may.
+    [[nodiscard]] std::string_view why_no_starts(instant at, const target_state& target) const;
+    /// The same for one run.
+    [[nodiscard]] std::string_view why_not_started(instant at, const target_state& target,
+                                                   const live_run& run) const;
+    [[nodiscard]] std::string_view why_withdrawn(instant at, const target_state& target,
+                                                 const live_run& run) const;
+    /// Withdraws the start in flight, if there is one.
+    void withdraw_start(const target_state& target, live_run& run);
+    void withdraw_unwanted_start(instant at, const target_state& target, live_run& run);
+    /// A start was certainly never sent. If no earlier send of it may be carried out, the run is over at
+    /// once.
+    void start_unsent(instant at, target_state& target, const std::string& task, milliseconds waited,
+                      std::string_view why);
     static void note_sent(instant at, target_state& target, start_stop_command& command);
     void note_answer(instant at, target_state& target, const start_stop_command& command,
                      const command_reply& reply);
@@ -613,12 +645,8 @@
     std::int64_t m_uncommitted_cpu_milli = 0; ///< free CPU that no earlier step of the pass counts on
     std::map<std::string, task_name> m_steps_with_open_request;
     std::vector<engine_event> m_events;
-    struct pending_start {
-        std::string target;
-        std::string task;
-        std::string ticket;
-    };
     std::vector<pending_start> m_starts;
+    std::vector<start_id> m_withdrawals;
 
     /// Writes that callers wait for; they go before those in `m_dirty`. Both queues are in order of time.
     std::deque<waiting_write> m_urgent;
--- a/src/jobs/engine_commands.cpp
+++ b/src/jobs/engine_commands.cpp
@@ -1,4 +1,4 @@
-// Commands to targets: starts and stops of runs, and their answers.
+// Commands to targets: starts and stops of runs, starts that are taken back, and answers.
 
 #include "jobs/engine.h"
 
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr milliseconds stop_retry{300};
+/// How long the stop of a run waits for the answer to the withdrawal of its start.
+constexpr milliseconds withdrawal_wait{100};
+/// A target whose polls have failed for this long gets no starts that still wait to be sent.
+constexpr milliseconds silence_before_withdrawal{500};
 /// A start without a response is sent again to the same target with the same run number, up to this many
 /// times in all.
 constexpr int max_start_sends = 3;
@@ -48,6 +52,10 @@
         return "malformed";
     case command_outcome::not_sent:
         return "connection refused";
+    case command_outcome::expired:
+        return "never sent: queued for too long";
+    case command_outcome::withdrawn:
+        return "never sent: withdrawn";
     case command_outcome::lost:
         break;
     }
@@ -61,78 +69,147 @@
 
 std::vector<start_stop_command> job_engine::take_commands(instant at) {
     std::vector<start_stop_command> commands;
-    for (auto& start : std::exchange(m_starts, {})) {
-        const auto known = m_targets.find(start.target);
-        if (known == m_targets.end())
-            continue;
-        auto& target = known->second;
-        const auto found = target.runs.find(start.task);
-        if (found == target.runs.end())
-            continue;
-        auto& run = found->second;
-        if (!run.start_sent && !may_grant(target)) {
-            drop_run(at, target, start.task, "its target is recorded as silent");
-            continue;
-        }
-        if (run.stop_wanted) {
-            if (!run.start_sent)
-                drop_run(at, target, start.task, "stopped before its start was sent");
-            continue;
-        }
-        if (!may_grant(target)) { // an earlier send of this start may be carried out
-            give_up_start(run);
-            continue;
-        }
-        run.start_sent = run.start_in_flight = true;
-        run.start_sent_at = at;
-        run.incarnation = 0;
-        start_stop_command command;
-        command.target = start.target;
-        command.address = target.entry.address;
-        command.task = run.task;
-        command.run = run.number;
-        command.fence = run.start_fence = fence_of(target);
-        note_sent(at, target, command);
-        command.body = m_jobs.at(run.task.job).spec.body();
-        command.saved = run.saved_state;
-        command.ticket = start.ticket;
-        command.deadline_ms = target.target_clock_ms(at) + m_options.lease.count();
-        target.granted_ms = std::max(target.granted_ms, command.deadline_ms);
-        target.last_grant = at;
-        commands.push_back(std::move(command));
-    }
-    if (!m_stop_may_be_due)
+    for (const auto& start : std::exchange(m_starts, {}))
+        take_start(at, start, commands);
+    if (!std::exchange(m_stop_may_be_due, false))
         return commands;
-    m_stop_may_be_due = false;
-    const auto make_stop = [&](target_state& target, const task_name& task, int number) {
-        start_stop_command command;
-        command.kind = command_kind::stop;
-        command.target = target.entry.id;
-        command.address = target.entry.address;
-        command.task = task;
-        command.run = number;
-        command.fence = fence_of(target);
-        note_sent(at, target, command);
-        commands.push_back(std::move(command));
-    };
     for (auto& [id, target] : m_targets) {
         for (auto& [text, run] : target.runs) {
+            withdraw_unwanted_start(at, target, run);
             if (!run.stop_wanted || run.stop_in_flight || run.stop_confirmed != instant{} ||
                 at < run.next_stop)
                 continue;
             run.stop_in_flight = true;
-            make_stop(target, run.task, run.number);
+            commands.push_back(make_stop(at, target, run.task, run.number));
         }
         for (auto& orphan : target.orphans) {
             if (at < orphan.next_stop)
                 continue;
             orphan.next_stop = at + unhealthy_delay;
-            make_stop(target, orphan.task, orphan.number);
+            commands.push_back(make_stop(at, target, orphan.task, orphan.number));
         }
     }
     return commands;
 }
 
+void job_engine::take_start(instant at, const pending_start& start, std::vector<start_stop_command>& to) {
+    const auto known = m_targets.find(start.target);
+    if (known == m_targets.end())
+        return;
+    auto& target = known->second;
+    const auto found = target.runs.find(start.task);
+    if (found == target.runs.end() || found->second.number != start.run ||
+        found->second.phase != run_phase::starting)
+        return;
+    auto& run = found->second;
+    const auto waited = at - start.queued_at;
+    const auto why = why_not_started(at, target, run);
+    if (!why.empty())
+        return start_unsent(at, target, start.task, waited, why);
+    if (waited > max_queue_time)
+        return start_unsent(at, target, start.task, waited,
+                            "this node was paused or couldn't confirm its ownership");
+    run.start_sent = run.start_in_flight = true;
+    run.start_withdrawn = false;
+    run.start_sent_at = at;
+    run.incarnation = 0;
+    start_stop_command command;
+    command.target = start.target;
+    command.address = target.entry.address;
+    command.task = run.task;
+    command.run = run.number;
+    command.fence = run.start_fence = fence_of(target);
+    note_sent(at, target, command);
+    command.body = m_jobs.at(run.task.job).spec.body();
+    command.saved = run.saved_state;
+    command.ticket = start.ticket;
+    command.deadline_ms = target.target_clock_ms(at) + m_options.lease.count();
+    target.granted_ms = std::max(target.granted_ms, command.deadline_ms);
+    target.last_grant = at;
+    to.push_back(std::move(command));
+}
+
+start_stop_command job_engine::make_stop(instant at, target_state& target, const task_name& task,
+                                         int number) const {
+    start_stop_command command;
+    command.kind = command_kind::stop;
+    command.target = target.entry.id;
+    command.address = target.entry.address;
+    command.task = task;
+    command.run = number;
+    command.fence = fence_of(target);
+    note_sent(at, target, command);
+    return command;
+}
+
+// ---- Starts that wait to be sent ----
+
+std::string_view job_engine::why_no_starts(instant at, const target_state& target) const {
+    if (!may_grant(target))
+        return "its target is recorded as silent";
+    if (target.suspect && at - target.suspect_since >= silence_before_withdrawal)
+        return "its target is silent";
+    if (!target.listed)
+        return "its target has left";
+    if (target.entry.draining || m_drained.contains(target.entry.data_centre))
+        return "its target is drained";
+    return {};
+}
+
+std::string_view job_engine::why_not_started(instant at, const target_state& target,
+                                             const live_run& run) const {
+    const auto job = m_jobs.find(run.task.job);
+    if (job == m_jobs.end() || job->second.phase != pb::job_progress::open)
+        return "its job has ended";
+    if (run.stop_wanted)
+        return "it was stopped";
+    return why_no_starts(at, target);
+}
+
+std::string_view job_engine::why_withdrawn(instant at, const target_state& target,
+                                           const live_run& run) const {
+    const auto why = why_not_started(at, target, run);
+    return why.empty() ? "its partition is given up" : why;
+}
+
+void job_engine::withdraw_start(const target_state& target, live_run& run) {
+    if (!run.start_in_flight || std::exchange(run.start_withdrawn, true))
+        return;
+    m_withdrawals.push_back({target.entry.id, run.task, run.number});
+}
+
+void job_engine::withdraw_unwanted_start(instant at, const target_state& target, live_run& run) {
+    if (!run.start_in_flight || run.start_withdrawn || why_not_started(at, target, run).empty())
+        return;
+    withdraw_start(target, run);
+    // If the start is withdrawn, there is nothing to stop.
+    if (run.unanswered_starts == 0)
+        run.next_stop = at + withdrawal_wait;
+}
+
+void job_engine::withdraw_all_starts() {
+    for (auto& [id, target] : m_targets) {
+        for (auto& [text, run] : target.runs)
+            withdraw_start(target, run);
+    }
+}
+
+void job_engine::start_unsent(instant at, target_state& target, const std::string& text, milliseconds waited,
+                              std::string_view why) {
+    auto& run = target.runs.at(text);
+    const auto what = "never sent, " + std::to_string(waited.count()) + " ms in a queue: " + std::string{why};
+    if (run.unanswered_starts == 0) {
+        run.start_sent = false;
+        return drop_run(at, target, text, what);
+    }
+    // An earlier send of it may be carried out.
+    add_event("start_refused", run.task.job,
+              target.entry.id + " " + text + " run " + std::to_string(run.number) + ": " + what);
+    give_up_start(run);
+}
+
+// ---- Answers ----
+
 void job_engine::handle_command_result(instant at, const start_stop_command& command,
                                        const command_reply& reply) {
     const auto found = m_targets.find(command.target);
@@ -207,6 +284,20 @@
         return;
     auto& run = found->second;
     run.start_in_flight = false;
+    if (run.stop_wanted) { // it was held back until the start's outcome was known
+        run.next_stop = std::min(run.next_stop, at);
+        m_stop_may_be_due = true;
+    }
+    if (is_never_sent(outcome)) {
+        if (run.phase != run_phase::starting)
+            return; // an earlier send of it was carried out, or is being stopped
+        if (outcome == command_outcome::expired)
+            target.avoid_until = std::max(target.avoid_until, at + no_capacity_delay);
+        const auto why = outcome == command_outcome::expired
+                             ? "too many commands to its target were unanswered"
+                             : why_withdrawn(at, target, run);
+        return start_unsent(at, target, text, reply.queued, why);
+    }
     if (run.incarnation == 0)
         run.unlocated_since = at;
     job_state* job = nullptr;
@@ -232,7 +323,7 @@
                   std::string{name_of(outcome)});
     if (outcome == command_outcome::lost && ++run.unanswered_starts < max_start_sends && !run.stop_wanted &&
         run.phase == run_phase::starting && job != nullptr && may_grant(target)) {
-        m_starts.push_back({target.entry.id, text, command.ticket});
+        m_starts.push_back({target.entry.id, text, run.number, command.ticket, at});
         return;
     }
     // One of them may still be carried out, or an earlier owner's run of the task is there.
--- a/src/jobs/engine_ends.cpp
+++ b/src/jobs/engine_ends.cpp
@@ -39,7 +39,8 @@
 
 // ---- Ends ----
 
-void job_engine::release(target_state& target, const live_run& run) {
+void job_engine::release(target_state& target, live_run& run) {
+    withdraw_start(target, run);
     target.held -= run.held;
     m_held[run.team] -= run.held;
     if (run.passed_at_limit)
@@ -55,9 +56,9 @@
     const auto found = target.runs.find(text);
     if (found == target.runs.end())
         return;
-    const auto run = found->second;
-    release(target, run);
+    auto run = std::move(found->second);
     target.runs.erase(found);
+    release(target, run);
     job_state* job = nullptr;
     auto* step = find_step(run.task, &job);
     add_event("run_dropped", run.task.job,
--- a/src/jobs/engine_messages.h
+++ b/src/jobs/engine_messages.h
@@ -21,8 +21,20 @@
 /// How many epochs an owner has recorded as its own at a time.
 constexpr std::uint64_t epochs_at_once = 16;
 
+/// How long a command may wait in queues, of its owner and of a relay, before it is sent to its target.
+constexpr milliseconds max_queue_time{1000};
+
 enum class command_kind { start, stop };
 
+/// Identifies the start of a run at one target.
+struct start_id {
+    std::string target;
+    task_name task;
+    int run = 0;
+
+    friend auto operator<=>(const start_id&, const start_id&) = default;
+};
+
 /// A command that starts or stops a run at one target.
 struct start_stop_command {
     command_kind kind = command_kind::start;
@@ -31,6 +43,7 @@
     task_name task;
     int run = 0;
     std::uint64_t fence = 0;
+    milliseconds queue_time{max_queue_time}; ///< how much longer it may wait in queues
     // Not sent; they tell the owner how old the answer is:
     instant sent{};
     std::uint64_t incarnation = 0; ///< of the target whose lists were read last when it was sent
@@ -53,14 +66,27 @@
     malformed,
     not_sent, ///< the connection was refused
     lost,     ///< no response: the command may be or have been carried out
+    expired,  ///< never sent: it waited in a queue for too long
+    withdrawn ///< never sent: its owner took it back
 };
 
 /// The result of a start or a stop.
 struct command_reply {
     command_outcome outcome = command_outcome::lost;
     std::optional<std::int64_t> clock_ms; ///< the target's clock, if its response tells it
+    milliseconds queued{0}; ///< how long it waited before it was sent, or taken out of the queue
 };
 
+/// Whether the command was certainly never sent to its target.
+constexpr bool is_never_sent(command_outcome outcome) {
+    return outcome == command_outcome::expired || outcome == command_outcome::withdrawn;
+}
+
+/// The start of the run that the command starts or stops.
+inline start_id start_of(const start_stop_command& command) {
+    return {command.target, command.task, command.run};
+}
+
 struct target_poll_command {
     std::uint64_t number = 0; ///< increases in the order of sending
     std::string target;
--- a/src/jobs/engine_schedule.cpp
+++ b/src/jobs/engine_schedule.cpp
@@ -490,7 +490,7 @@
               target.entry.id + " " + text + " run " + std::to_string(number) + ", free cpu_milli " +
                   std::to_string(target.free().cpu_milli));
     const auto* ticket = step.advice.ticket(at, target.entry.id);
-    m_starts.push_back({target.entry.id, text, ticket == nullptr ? std::string{} : *ticket});
+    m_starts.push_back({target.entry.id, text, number, ticket == nullptr ? std::string{} : *ticket, at});
     target.runs[text] = std::move(run);
 }
 
--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -206,6 +206,8 @@
         listed[run.task] = &run;
     std::vector<std::pair<std::string, std::string_view>> gone;
     for (auto& [text, run] : target.runs) {
+        if (!run.start_sent)
+            continue;
         // The target takes no start of that fence any more.
         const bool is_outdated =
             run.incarnation < target.incarnation && run.start_fence <= target.outdated_fence;
--- a/src/jobs/target_table.h
+++ b/src/jobs/target_table.h
@@ -14,7 +14,8 @@
 /// Commands of an owner may reach targets this long after they were sent.
 constexpr milliseconds max_command_delay{500};
 /// The same for commands whose deadline is on the clock of an earlier incarnation, so that a later one takes
-/// them whenever they come: a relay that fails, and then the longest timeout of a direct call.
+/// them whenever they come: a call to a relay, `max_queue_time`, and the longest timeout of a call to a
+/// target.
 constexpr milliseconds max_outdated_delay{3000};
 
 enum class run_phase {
@@ -42,6 +43,7 @@
     /// known.
     std::uint64_t incarnation = 0;
     bool start_in_flight = false;
+    bool start_withdrawn = false;  ///< the start in flight is not to be sent any more, if it still waits
     instant start_sent_at{};       ///< the last one
     std::uint64_t start_fence = 0; ///< of the last one; 0 if an earlier owner started it
     /// When a start was answered, or lost, without telling which incarnation took it; unset once later lists
--- a/test/command_relay_test.cpp
+++ b/test/command_relay_test.cpp
@@ -1,37 +1,16 @@
 #include "cell/command_relay.h"
 #include "cell/command_wire.h"
 #include "cell/relayed_targets.h"
-#include "cell/target_command_limiter.h"
+#include "standin/held_targets.h"
 
 #include <catch2/catch.hpp>
 
-#include <deque>
-
 using namespace medlarhub;
+using standin::held_targets;
 using namespace std::chrono_literals;
 
 namespace {
 
-/// Targets whose answers are sent by the test.
-class held_targets final : public target_port {
-public:
-    void send(const start_stop_command& command, milliseconds /*timeout*/,
-              std::function<void(command_reply)> done) override {
-        commands.push_back(command);
-        command_answers.push_back(std::move(done));
-    }
-    void poll(const target_poll_command& command, milliseconds /*timeout*/,
-              std::function<void(poll_result)> done) override {
-        polls.push_back(command);
-        poll_answers.push_back(std::move(done));
-    }
-
-    std::vector<start_stop_command> commands;
-    std::vector<target_poll_command> polls;
-    std::deque<std::function<void(command_reply)>> command_answers;
-    std::deque<std::function<void(poll_result)>> poll_answers;
-};
-
 struct relayed_call {
     std::string address;
     pb::relay_call call;
@@ -48,8 +27,10 @@
         targets.set_relays({{"n2", "10.0.0.2:1", "near"}});
     }
 
-    void start(int run) {
+    void start(int run) { send(command_kind::start, run); }
+    void send(command_kind kind, int run) {
         start_stop_command command;
+        command.kind = kind;
         command.target = "t1";
         command.task = {"j", 0, 0, run};
         command.run = run;
@@ -59,12 +40,14 @@
     }
 
     held_targets direct;
+    milliseconds boot{1000};
     std::vector<relayed_call> calls;
     relayed_targets targets{"n1/1", direct,
                             [this](const std::string& address, const pb::relay_call& call,
                                    milliseconds /*timeout*/, peer_callback<pb::relay_answer> done) {
                                 calls.push_back({address, call, std::move(done)});
-                            }};
+                            },
+                            [this] { return boot; }};
     std::map<int, std::vector<command_outcome>> got; ///< by the command's run
 };
 
@@ -149,6 +132,101 @@
     CHECK(got == outcomes{command_outcome::done});
 }
 
+// Guards against a start that its owner can't take back because it waits at another node, or for a message
+// there.
+TEST_CASE("a start is withdrawn where it waits", "[relay][queued]") {
+    const auto start = [](int run) { return start_id{"t1", {"j", 0, 0, run}, run}; };
+    relayed_owner owner;
+    owner.start(1);
+    owner.start(2); // waits for the next call
+    REQUIRE(owner.calls.size() == 1);
+    owner.targets.withdraw(start(2));
+    CHECK(owner.got.at(2) == outcomes{command_outcome::withdrawn});
+    owner.targets.withdraw(start(1));
+    CHECK_FALSE(owner.got.contains(1));
+    owner.targets.tick(now() + relay_spacing);
+    REQUIRE(owner.calls.size() == 2);
+    CHECK(owner.calls[1].call.commands().empty());
+    REQUIRE(owner.calls[1].call.withdrawals_size() == 1);
+    CHECK(start_from_wire(owner.calls[1].call.withdrawals(0)) == start(1));
+    owner.calls[1].done(peer_delivery::answered, results_of(owner.calls[0].call, command_outcome::withdrawn));
+    CHECK(owner.got.at(1) == outcomes{command_outcome::withdrawn});
+
+    owner.calls[0].done(peer_delivery::lost, {});
+    owner.start(3);
+    owner.targets.withdraw(start(3));
+    CHECK(owner.direct.withdrawn == std::vector{start(3)});
+}
+
+TEST_CASE("a start that waits for a message or a failed relay uses up its time",
+          "[relay][queued][recovery]") {
+    relayed_owner owner;
+    owner.start(1);
+    owner.start(2);
+    owner.boot += 300ms;
+    owner.targets.tick(now() + relay_spacing);
+    REQUIRE(owner.calls.size() == 2);
+    CHECK(owner.calls[1].call.commands(0).queue_ms() == 700);
+    owner.start(3);
+    const bool expires = GENERATE(false, true);
+    owner.boot += expires ? max_queue_time : 600ms;
+    if (expires) {
+        owner.targets.tick(now() + relay_spacing);
+        CHECK(owner.got.at(3) == outcomes{command_outcome::expired});
+    }
+    owner.calls[1].done(peer_delivery::not_sent, {});
+    REQUIRE(owner.direct.commands.size() == (expires ? 1 : 2));
+    CHECK(owner.direct.commands.back().queue_time == (expires ? -300ms : 100ms)); // of the second start
+}
+
+// Guards against a stop that overtakes its start, which then waits at a node that isn't asked any more.
+TEST_CASE("a stop goes the way of its start", "[relay][queued]") {
+    relayed_owner owner;
+    owner.start(1);
+    owner.targets.set_relays({{"n3", "10.0.0.3:1", "near"}});
+    owner.send(command_kind::stop, 1);
+    owner.send(command_kind::stop, 2); // its start isn't open
+    owner.targets.tick(now() + relay_spacing);
+    std::map<std::string, std::vector<int>> stops; // by address
+    for (const auto& each : owner.calls) {
+        for (const auto& command : each.call.commands()) {
+            if (command.what() == pb::target_command::stop)
+                stops[each.address].push_back(command.run());
+        }
+    }
+    CHECK(stops == std::map<std::string, std::vector<int>>{{"10.0.0.2:1", {1}}, {"10.0.0.3:1", {2}}});
+}
+
+TEST_CASE("a relay that was paused sends no starts that came meanwhile, and passes withdrawals on",
+          "[relay][queued][recovery]") {
+    held_targets targets;
+    milliseconds boot{1000};
+    command_relay relay{targets, [&] { return boot; }};
+    relay.tick(now());
+    boot += GENERATE(100ms, 5000ms);
+    const bool paused = boot > 2s;
+    pb::relay_call call;
+    call.set_session("n1/1/n2/0");
+    for (const auto kind : {command_kind::start, command_kind::stop}) {
+        start_stop_command command;
+        command.kind = kind;
+        command.target = "t1";
+        command.task = {"j", 0, 0, kind == command_kind::start ? 1 : 2};
+        *call.add_commands() = to_wire(command, 1000ms);
+    }
+    *call.add_withdrawals() = to_wire(start_id{"t1", {"j", 0, 0, 7}, 3});
+    std::vector<command_outcome> got;
+    relay.take(now(), call, [&](const pb::relay_answer& answer) {
+        for (const auto& result : answer.results())
+            got.push_back(reply_from_wire(result).outcome);
+    });
+    relay.tick(now() + relay_hold);
+    CHECK(got == (paused ? outcomes{command_outcome::expired} : outcomes{}));
+    CHECK(targets.commands.size() == (paused ? 1 : 2));
+    CHECK(targets.commands.back().kind == command_kind::stop);
+    CHECK(targets.withdrawn == std::vector{start_id{"t1", {"j", 0, 0, 7}, 3}});
+}
+
 TEST_CASE("a command without a result is reported as lost after its timeout, exactly once", "[relay]") {
     relayed_owner owner;
     owner.start(1);
@@ -221,6 +299,7 @@
     command.task = {"j", 3, 2, 1};
     command.run = 7001;
     command.fence = 8;
+    command.queue_time = 250ms;
     if (command.kind == command_kind::start) {
         command.body = std::string{"\0\xff{", 3};
         command.saved = "s";
@@ -234,6 +313,7 @@
     CHECK(decoded->task == command.task);
     CHECK(decoded->run == command.run);
     CHECK(decoded->fence == command.fence);
+    CHECK(decoded->queue_time == command.queue_time);
     CHECK(decoded->body == command.body);
     CHECK(decoded->saved == command.saved);
     CHECK(decoded->ticket == command.ticket);
@@ -269,6 +349,7 @@
     CHECK(decoded_result.ended[0].number == 3);
 
     CHECK(reply_from_wire(to_wire(command_reply{command_outcome::done, 14})).clock_ms == 14);
+    CHECK(reply_from_wire(to_wire(command_reply{command_outcome::expired, {}, 9ms})).queued == 9ms);
     CHECK_FALSE(reply_from_wire(to_wire(command_reply{command_outcome::no_room, {}})).clock_ms);
 
     // Unknown values from a later release are treated as an unknown outcome.
@@ -294,32 +375,3 @@
     CHECK(call.targets_size() == 2);
     CHECK(call.timeout_ms() == 900);
 }
-
-TEST_CASE("a burst of orders goes to a target a few at a time, in order, and stops are among them",
-          "[relay][load]") {
-    held_targets targets;
-    target_command_limiter limiter{targets};
-    std::vector<int> answered;
-    const auto make_command = [](const std::string& target, int run) {
-        start_stop_command command;
-        command.kind = run == 19 ? command_kind::stop : command_kind::start;
-        command.target = target;
-        command.run = run;
-        return command;
-    };
-    for (int run = 0; run < 20; ++run)
-        limiter.send(make_command("t1", run), 500ms,
-                     [&answered, run](const command_reply&) { answered.push_back(run); });
-    limiter.send(make_command("t2", 100), 500ms, [](const command_reply&) {});
-    CHECK(targets.commands.size() == max_commands_per_target + 1); // another target doesn't wait
-    // Each outcome, including a lost answer, releases the next command.
-    for (std::size_t i = 0; i < targets.command_answers.size(); ++i) {
-        const auto answer = targets.command_answers[i];
-        answer({i % 3 == 0 ? command_outcome::lost : command_outcome::done, {}});
-    }
-    CHECK(answered.size() == 20);
-    CHECK(targets.commands.size() == 21);
-    CHECK(targets.commands.back().run == 19);
-    limiter.send(make_command("t1", 7), 500ms, [](const command_reply&) {});
-    CHECK(targets.commands.size() == 22);
-}
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds start_timeout{500};
 constexpr milliseconds stop_timeout{500};
 constexpr milliseconds max_unknown_run_time{7500};
+/// The users' bounds for the last start of a job that was cancelled, and at a target that was drained.
+constexpr milliseconds cancel_bound{3000};
+constexpr milliseconds drain_bound{2000};
 /// A run that nothing could prevent excuses what owners start without knowing of it for this long.
 constexpr milliseconds notice_time{1000};
 
@@ -84,6 +87,11 @@
     made.max_unknown_run_time = max_unknown_run_time;
     made.earlier_lease = m_recorded_lease;
     m_owner = std::make_shared<job_engine>(made);
+    m_queues.push_back(std::make_unique<command_queue>(*this));
+    std::erase_if(m_cancelled_at, [&](const auto& entry) {
+        const auto row = m_progress.find(entry.first);
+        return row == m_progress.end() || row->second.state() == pb::job_progress::open;
+    });
     m_owner->set_config(m_config);
     m_owner->restore(m_specs, m_progress);
     // What the earlier owner learned and transferred is known only from the rows.
@@ -107,6 +115,7 @@
         auto& added = entries.emplace_back(target.entry());
         added.home = m_fleet->homes.at(id);
         added.transfers = assignment.transfers;
+        added.draining = m_drained_at.contains(id);
     }
     return entries;
 }
@@ -130,8 +139,10 @@
 }
 
 void job_world::cancel(const std::string& job) {
-    if (m_owner->cancel(m_at, job))
+    if (m_owner->cancel(m_at, job)) {
         m_cancelled.insert(job);
+        m_cancelled_at.emplace(job, m_at);
+    }
     deliver_messages();
 }
 
@@ -144,6 +155,11 @@
     read_entries();
 }
 
+void job_world::drain(const std::string& target) {
+    m_drained_at.emplace(target, m_at);
+    read_entries();
+}
+
 void job_world::restart(const std::string& target, std::int64_t clock_start_ms) {
     m_fleet->targets.at(target).restart(m_at, clock_start_ms);
     m_not_prevented.erase(target);
@@ -175,8 +191,7 @@
 }
 
 bool job_world::is_message_lost() {
-    constexpr int one_in = 12;
-    return m_faulty && m_random() % one_in == 0;
+    return m_faulty && m_random() % static_cast<std::uint64_t>(m_options.lost_one_in) == 0;
 }
 
 milliseconds job_world::delay() {
@@ -259,8 +274,13 @@
 
 void job_world::deliver_messages() {
     write_rows();
-    for (const auto& command : m_owner->take_commands(m_at))
+    const auto commands = m_owner->take_commands(m_at);
+    for (const auto& start : m_owner->take_withdrawals())
+        m_queues.back()->limiter.withdraw(start);
+    for (const auto& command : commands)
         send(command);
+    for (const auto& queue : m_queues)
+        queue->limiter.tick();
     for (const auto& command : m_owner->take_polls(m_at))
         poll(command);
     for (const auto& request : m_owner->take_advice_requests()) {
@@ -336,12 +356,31 @@
 }
 
 void job_world::send(const start_stop_command& command) {
-    const auto owner = m_owner;
+    const auto done = [this, owner = m_owner, command](const command_reply& reply) {
+        owner->handle_command_result(m_at, command, reply);
+    };
+    if (m_options.queues_commands)
+        m_queues.back()->limiter.send(command, {}, done);
+    else
+        transmit(command, done);
+}
+
+void job_world::check_wanted(const start_stop_command& command) {
+    const auto too_late = [&](const std::map<std::string, instant>& since, const std::string& id,
+                              milliseconds bound) {
+        const auto found = since.find(id);
+        return found != since.end() && m_at - found->second > bound;
+    };
+    if (too_late(m_cancelled_at, command.task.job, cancel_bound))
+        violate("a start after its job was cancelled: " + command.task.to_string());
+    if (too_late(m_drained_at, command.target, drain_bound))
+        violate("a start after its target was drained: " + command.task.to_string());
+}
+
+void job_world::transmit(const start_stop_command& command, const std::function<void(command_reply)>& done) {
     const auto command_timeout = command.kind == command_kind::start ? start_timeout : stop_timeout;
-    const auto answer = [this, owner, command](const command_reply& reply, milliseconds after) {
-        m_messages.emplace(m_at + after, [this, owner, command, reply] {
-            owner->handle_command_result(m_at, command, reply);
-        });
+    const auto answer = [this, done](const command_reply& reply, milliseconds after) {
+        m_messages.emplace(m_at + after, [done, reply] { done(reply); });
     };
     if (m_late > 0ms || is_message_lost()) {
         answer({}, command_timeout);
@@ -352,11 +391,14 @@
                            [this, command](bool restarted) { carry_out(command, restarted); });
         return;
     }
-    m_messages.emplace(m_at + delay(), [this, owner, command, command_timeout, answer] {
+    m_messages.emplace(m_at + delay(), [this, command, command_timeout, answer] {
         if (!reachable(command.target))
             return answer({}, command_timeout);
         auto& target = m_fleet->targets.at(command.target);
+        const auto started = m_starts.size();
         carry_out(command);
+        if (m_starts.size() > started)
+            check_wanted(command);
         // A repeated command returns the result of the first one.
         const auto task = command.task.to_string();
         command_outcome outcome = command_outcome::done;
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cell/target_assignments.h"
+#include "cell/target_command_limiter.h"
 #include "standin/job_target.h"
 
 #include <deque>
@@ -45,6 +46,8 @@
         /// against no guarantee until owners have read two lists of the new incarnation.
         bool outlive_restarts = false;
         bool clocks_start_anywhere = false; ///< those of targets that restart by a random event
+        bool queues_commands = false;       ///< at most a few are in flight to a target, others wait
+        int lost_one_in = 12;               ///< of the messages, while there are faults
     };
 
     job_world(options given, std::uint64_t seed);
@@ -61,6 +64,8 @@
     /// The target is gone for good, and the owner's list of targets doesn't have it any more.
     void leave(const std::string& target);
     void restart(const std::string& target, std::int64_t clock_start_ms = 0);
+    /// The owner starts nothing there any more.
+    void drain(const std::string& target);
     /// The owner learns the targets' entries, as the store has them.
     void read_entries();
     /// Resets progress rows to their state at acceptance, as if no delayed write had been done.
@@ -125,6 +130,10 @@
     }
     void apply(const job_rows& rows);
     void send(const start_stop_command& command);
+    /// Sends a command for which there is a slot.
+    void transmit(const start_stop_command& command, const std::function<void(command_reply)>& done);
+    /// Notes a task that begins long after its job was cancelled or its target drained.
+    void check_wanted(const start_stop_command& command);
     void poll(const target_poll_command& command);
     void carry_out(const start_stop_command& command, bool for_earlier_incarnation = false);
     /// Carries it out at a time, if the target may get it then. `carry_out` is told whether it has restarted.
@@ -141,11 +150,32 @@
     [[nodiscard]] bool is_message_lost();
     [[nodiscard]] milliseconds delay();
 
+    /// The commands of one owner that wait for a slot.
+    class command_queue final : public target_port {
+    public:
+        explicit command_queue(job_world& world) : m_world{world} {}
+        void send(const start_stop_command& command, milliseconds /*timeout*/,
+                  std::function<void(command_reply)> done) override {
+            m_world.transmit(command, done);
+        }
+        void poll(const target_poll_command& /*command*/, milliseconds /*timeout*/,
+                  std::function<void(poll_result)> /*done*/) override {}
+
+    private:
+        job_world& m_world;
+
+    public:
+        target_command_limiter limiter{*this, [this] { return m_world.m_at.time_since_epoch(); }};
+    };
+
     options m_options;
     std::mt19937_64 m_random;
     instant m_at{std::chrono::hours{1000}};
     std::uint64_t m_epoch = 0; ///< the last one that is recorded as an owner's
     std::shared_ptr<job_engine> m_owner;
+    std::vector<std::unique_ptr<command_queue>> m_queues; ///< by owner; the last one is the present one's
+    std::map<std::string, instant> m_cancelled_at;        ///< by job
+    std::map<std::string, instant> m_drained_at;          ///< by target
     std::shared_ptr<cell_config> m_config;
     std::shared_ptr<job_fleet> m_fleet;
     target_assignments m_assignments; ///< as known to the owner
