Leave the time in a queue out of the owner's load, and let an idle gate open

Cause: overload_gate and adaptive_timeout were told the time from the handing out, in which a command waited for a slot behind others without an answer. And the gate changes only with an answered start: a job that is wider than the limit is refused, so that no start is sent, and the limit stays.

What the gate learnt is forgotten once no command was answered for 1 s.

--- a/src/cell/owned_partition.cpp
+++ b/src/cell/owned_partition.cpp
@@ -217,6 +217,7 @@
             if (m_status == partition_status::active)
                 m_engine->tick(at);
             answer_expired_waiters(at);
+            m_gate.tick(at);
             if (m_status == partition_status::active && at >= m_next_report) {
                 m_next_report = at + report_period;
                 report(at);
@@ -380,7 +381,8 @@
                                      });
     }
 
-    /// Learns from the time that a command took.
+    /// Learns from the time that a command took once there was a slot for it. The time before that shows that
+    /// others to its target had no answer, and nothing about this owner.
     void observe(instant at, instant sent, const start_stop_command& command, const command_reply& reply) {
         if (is_never_sent(reply.outcome)) {
             const bool expired = reply.outcome == command_outcome::expired;
@@ -388,7 +390,7 @@
                                           {{"reason", expired ? "expired" : "withdrawn"}});
             return;
         }
-        const auto took = at - sent;
+        const auto took = std::max(at - sent - reply.queued, 0ms);
         if (command.kind == command_kind::start)
             m_start_timeout.observe(took);
         // Targets answer immediately, so a slow answer was delayed by this owner's load.
--- a/src/jobs/overload_gate.cpp
+++ b/src/jobs/overload_gate.cpp
@@ -13,6 +13,8 @@
 /// Longer durations count as this, to bound the effect of a single slow answer.
 constexpr double max_ms = 400;
 constexpr milliseconds change_period{200};
+/// An owner that has more work than it can schedule gets many answers in this time.
+constexpr milliseconds observation_lifetime{1000};
 constexpr double decrease_factor = 0.8;
 constexpr double increase_factor = 1.1;
 constexpr double min_limit = 40;
@@ -30,7 +32,15 @@
     return used.tasks;
 }
 
+void overload_gate::tick(instant at) {
+    if (at - m_last_observed <= observation_lifetime)
+        return;
+    m_took_ms = 0;
+    m_limit = 0;
+}
+
 void overload_gate::observe(instant at, milliseconds took) {
+    m_last_observed = at;
     const auto ms = std::clamp(static_cast<double>(took.count()), 0.0, max_ms);
     m_took_ms += smoothing * (ms - m_took_ms);
     if (at < m_next_change)
--- a/src/jobs/overload_gate.h
+++ b/src/jobs/overload_gate.h
@@ -14,6 +14,9 @@
 public:
     /// Records the duration of a call that the other side answers at once, so that any delay arises here.
     void observe(instant at, milliseconds took);
+    /// To be called regularly: what was observed long ago says nothing any more. Without it a limit below
+    /// what one job asks for would never be lifted, since no call is made.
+    void tick(instant at);
     /// Counts the tasks of a new job. Returns false if the job is to be refused.
     [[nodiscard]] bool admit(instant at, const std::string& team, int tasks);
     /// The smoothed duration of these calls.
@@ -32,6 +35,7 @@
     double m_limit = 0; ///< tasks per window; 0: no limit
     double m_took_ms = 0;
     instant m_next_change{};
+    instant m_last_observed{};
     usage m_total;
     std::map<std::string, usage> m_teams;
 };
--- a/test/queued_starts_test.cpp
+++ b/test/queued_starts_test.cpp
@@ -160,3 +160,22 @@
     }
     CHECK(starts == 0);
 }
+
+// Guards against a gate that takes the time behind unanswered commands for its owner's load, and refuses a
+// wide job in an idle cell.
+TEST_CASE("the time that commands wait for a slot doesn't count as load", "[queued][load]") {
+    queueing_owner owner{false};
+    REQUIRE(owner.call(pb::job_call::submit, "j") == pb::job_answer::ok);
+    int answered = 0;
+    while (answered < wide) {
+        REQUIRE(owner.await([&] { return owner.targets.waiting() > 0; }));
+        std::this_thread::sleep_for(120ms);
+        for (const auto& [command, done] : owner.targets.take()) {
+            command_reply reply{command_outcome::done, {}};
+            reply.queued = 1h; // as if it had waited for a slot all the time
+            done(reply);
+            ++answered;
+        }
+    }
+    CHECK(owner.call(pb::job_call::submit, "k") == pb::job_answer::ok);
+}
