Let a target that joins again before a roster write get work

Cause: a silent target that has left is dropped and taken off the roster. If it joins again before the next write (one that waits for a slow store), the roster equals the written one, so that none is written, and only a write, or an entry that was on the roster all along, marked the new target_state as recorded.

Change: a target that is added while no roster is being written counts as recorded if the written roster names it, whether or not it was taken off in between.

Why it works: a later owner reads the written roster, and looks for runs at all that it names. While a roster is being written, its end marks the targets as before.

--- a/src/jobs/engine_targets.cpp
+++ b/src/jobs/engine_targets.cpp
@@ -51,9 +51,9 @@
         target.listed = true;
         if (target.transfer_to)
             continue;
-        if (m_roster.insert(entry.id).second)
-            m_roster_dirty = true;
-        else if (added && !m_roster_in_write)
+        m_roster_dirty = m_roster.insert(entry.id).second || m_roster_dirty;
+        // A target that was dropped and is back before the roster was written without it is still in it.
+        if (added && !m_roster_in_write)
             target.in_roster = m_roster_written.contains(entry.id);
     }
     for (auto& [id, target] : m_targets) {
--- a/test/engine_silent_targets_test.cpp
+++ b/test/engine_silent_targets_test.cpp
@@ -196,3 +196,31 @@
     CHECK(reading.reached_by(74'000) <= asked + 30ms + 4200ms);
     CHECK(reading.reached_by(60'000) <= asked + 30ms + 100ms); // it was reached before
 }
+
+// Guards against a target that is back and gets no work until another one joins or leaves, because the roster
+// that it left and joined again was never written without it.
+TEST_CASE("a target that leaves and joins again before a roster is written gets work", "[engine][roster]") {
+    const bool holds_write = GENERATE(true, false);
+    job_world world{{.targets = 2, .work = 60s, .faults = false}, 68};
+    world.run_for(1s);
+    world.submit(simple_job("early", {simple_step(2, 1000)}));
+    world.run_for(500ms);
+    world.hold_writes(holds_write);
+    world.submit(simple_job("in_write", {simple_step(1, 1000)}));
+    world.leave("t0");
+    bool gone = false;
+    for (int i = 0; i < 1000 && !gone; ++i) {
+        world.run_for(20ms);
+        for (const auto& event : world.owner().take_events())
+            gone = gone || event.what == "target_gone";
+    }
+    REQUIRE(gone);
+    world.join("t0");
+    world.hold_writes(false);
+    world.run_for(2s);
+    world.submit(simple_job("late", {simple_step(2, 2000)}));
+    world.run_for(2s);
+    CHECK(world.target("t0").held().cpu_milli > 0);
+    CHECK(starts_of(world, "late") == 2);
+    CHECK(world.violation().empty());
+}
--- a/test/job_world.cpp
+++ b/test/job_world.cpp
@@ -155,6 +155,12 @@
     read_entries();
 }
 
+void job_world::join(const std::string& target) {
+    m_left.erase(target);
+    m_unresponsive_until.erase(target);
+    read_entries();
+}
+
 void job_world::drain(const std::string& target) {
     m_drained_at.emplace(target, m_at);
     read_entries();
--- a/test/job_world.h
+++ b/test/job_world.h
@@ -63,6 +63,8 @@
     void make_unresponsive(const std::string& target, milliseconds time);
     /// The target is gone for good, and the owner's list of targets doesn't have it any more.
     void leave(const std::string& target);
+    /// A target that left is back under its id.
+    void join(const std::string& target);
     void restart(const std::string& target, std::int64_t clock_start_ms = 0);
     /// The owner starts nothing there any more.
     void drain(const std::string& target);
